Reread the configuration on SIGHUP and move discovery and notices at once

Cause: relay.cpp registered SIGTERM, SIGINT and SIGUSR1 only, so SIGHUP kept its default; discovery and notices held the address of the start for good. Now the file is read again and taken whole. Discovery and notices close their connections and go to the new address without waiting out a pause; the version is forgotten, so the whole list is fetched. Bytes that the old address had sent before the close are dropped. An unusable file changes nothing.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -13,7 +13,8 @@
 
 int serve(const std::string& config_path, const std::string& state) {
   try {
-    fennellane::Relay relay(fennellane::read_config(config_path), state);
+    const auto read = [&config_path] { return fennellane::read_config(config_path); };
+    fennellane::Relay relay(read(), state, read);
     relay.run();
     return 0;
   } catch (const fennellane::ConfigError& e) {
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -25,6 +25,11 @@
   });
 }
 
+void Client::redirect(const Address& address) {
+  address_ = address;
+  close();
+}
+
 void Client::close() {
   asio::error_code ignored;
   socket_.close(ignored);
@@ -74,6 +79,8 @@
     const std::size_t n =
         co_await socket_.async_read_some(asio::buffer(space.data(), space.size()), into(error));
     timer_.cancel();
+    // Guards against bytes of the old address that had come before the connection was closed.
+    if (!socket_.is_open()) co_return false;
     if (error == asio::error::eof) answer_.end_of_input();
     in_.commit(n);
   }
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -34,6 +34,9 @@
   asio::awaitable<bool> read(Time limit);
   // Reads one whole answer.
   asio::awaitable<bool> read_answer(Time limit);
+  // From now on another address: the connection to the old one ends at once, and what was awaited on it
+  // fails.
+  void redirect(const Address& address);
   HttpReader& answer() { return answer_; }
   bool open() const { return socket_.is_open(); }
   void close();
@@ -43,7 +46,7 @@
 
   asio::ip::tcp::socket socket_;
   asio::steady_timer timer_;
-  const Address address_;
+  Address address_;
   RingBuffer in_;
   RingBuffer out_;
   HttpReader answer_;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -1,5 +1,6 @@
 #include "config.hpp"
 
+#include <arpa/inet.h>
 #include <json/json.h>
 
 #include <algorithm>
@@ -92,6 +93,17 @@
   return static_cast<std::uint32_t>(it - names.begin());
 }
 
+// Guards against an address that is found to be of no use only when it is connected to: there is no DNS.
+Address numeric_address(const std::string& text) {
+  Address address = parse_address(text);
+  unsigned char bytes[sizeof(in6_addr)];
+  if (inet_pton(AF_INET, address.host.c_str(), bytes) != 1 &&
+      inet_pton(AF_INET6, address.host.c_str(), bytes) != 1) {
+    throw ConfigError("no numeric address: " + text);
+  }
+  return address;
+}
+
 HostList read_hosts(const Json::Value& in, const wire::BootInfo& boot) {
   HostList list;
   list.version = static_cast<std::uint64_t>(number_of(in, "version", 0, 1e15));
@@ -143,8 +155,8 @@
     const Json::Value in = parse_json(json, "the configuration");
     Config config;
     config.name = text_of(in, "name");
-    config.listen = parse_address(text_of(in, "listen"));
-    config.discovery = parse_address(text_of(in, "discovery"));
+    config.listen = numeric_address(text_of(in, "listen"));
+    config.discovery = numeric_address(text_of(in, "discovery"));
     const std::string seed = in.isMember("seed") ? text_of(in, "seed") : "0";
     std::uint64_t salt = 0;
     for (char c : seed) {
@@ -163,6 +175,7 @@
     }
     wire::SettingsMap values;
     flatten(member(in, "settings", Json::objectValue), "", values);
+    config.settings = values;
     config.boot = wire::read_settings(std::move(values), salt);
     starlinghook::Settings& s = config.boot.settings;
     s.can_probe = false;        // PROTOCOL has no probes
@@ -177,6 +190,18 @@
   }
 }
 
+std::vector<std::string> fixed_parts_changed(const Config& running, const Config& wanted) {
+  std::vector<std::string> parts;
+  const auto compare = [&parts](bool same, const char* part) {
+    if (!same) parts.emplace_back(part);
+  };
+  compare(running.name == wanted.name, "name");
+  compare(running.listen.text() == wanted.listen.text(), "listen");
+  compare(running.allowance == wanted.allowance, "limits");
+  compare(running.settings == wanted.settings, "settings");
+  return parts;
+}
+
 Config read_config(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   std::ostringstream text;
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -46,7 +46,8 @@
   Address listen;
   Address discovery;
   Allowance allowance;
-  wire::BootInfo boot;  // the module's settings, and names by position
+  wire::BootInfo boot;         // the module's settings, and names by position
+  wire::SettingsMap settings;  // the same as they stand in the file
   HostList known;
   Limits limits;
 };
@@ -54,6 +55,8 @@
 Address parse_address(std::string_view text);                             // throws ConfigError
 Config parse_config(const std::string& json);                             // throws ConfigError
 HostList parse_hosts(std::string_view json, const wire::BootInfo& boot);  // throws ConfigError
-Config read_config(const std::string& path);                              // throws ConfigError
+// The names of the parts in which two configurations differ and that only a restart can change.
+std::vector<std::string> fixed_parts_changed(const Config& running, const Config& wanted);
+Config read_config(const std::string& path);  // throws ConfigError
 
 }  // namespace fennellane
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -31,6 +31,7 @@
   add("restored", c.restored);
   add("lists", c.lists);
   add("discovery_connects", c.discovery_connects);
+  add("reloads", c.reloads);
   add("journal.held", j.held);
   add("journal.bytes", j.bytes);
   add("journal.records", j.records);
--- a/src/net/counters.hpp
+++ b/src/net/counters.hpp
@@ -32,6 +32,7 @@
   // Discovery.
   std::uint64_t lists = 0;
   std::uint64_t discovery_connects = 0;
+  std::uint64_t reloads = 0;  // new configurations taken up
 };
 
 struct JournalFigures {
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <asio/co_spawn.hpp>
-#include <asio/steady_timer.hpp>
+#include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 
 namespace fennellane {
@@ -13,12 +13,23 @@
       counters_(counters),
       log_(log),
       on_list_(std::move(on_list)),
-      client_(io, config.discovery, config.limits, config.limits.discovery_line) {}
+      address_(config.discovery),
+      client_(io, address_, config.limits, config.limits.discovery_line),
+      pause_(io) {}
 
 void Discovery::start() { asio::co_spawn(io_, run(), rethrow); }
 
+void Discovery::redirect(const Address& address) {
+  address_ = address;
+  version_ = 0;
+  have_list_ = false;
+  redirected_ = true;
+  client_.redirect(address);
+  pause_.cancel();
+}
+
 std::string Discovery::request(const std::string& target) const {
-  return "GET " + target + " HTTP/1.1\r\nHost: " + config_.discovery.text() + "\r\n\r\n";
+  return "GET " + target + " HTTP/1.1\r\nHost: " + address_.text() + "\r\n\r\n";
 }
 
 // Guards against a line that cannot be read, or out of its place: it is logged and the connection dropped,
@@ -75,10 +86,10 @@
 
 asio::awaitable<void> Discovery::run() {
   const Limits& limits = config_.limits;
-  asio::steady_timer pause(io_);
   Time backoff = limits.backoff_least;
   while (true) {
     ++counters_.discovery_connects;
+    redirected_ = false;
     bool good = co_await client_.connect(limits.discovery_answer);
     if (good && !have_list_) {
       good = co_await fetch();
@@ -86,9 +97,13 @@
     }
     if (good) good = co_await watch();
     client_.close();
+    // Guards against a new address waiting out the pause that its predecessor's outage had earned.
+    if (redirected_) good = true;
     backoff = good ? limits.backoff_least : std::min(backoff * 2, limits.backoff_most);
-    pause.expires_after(backoff);
-    co_await pause.async_wait(asio::use_awaitable);
+    if (redirected_) continue;
+    pause_.expires_after(backoff);
+    asio::error_code cut_short;
+    co_await pause_.async_wait(asio::redirect_error(asio::use_awaitable, cut_short));
   }
 }
 
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -3,6 +3,7 @@
 
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 #include <functional>
 
 #include "client.hpp"
@@ -17,6 +18,9 @@
   using OnList = std::function<void(HostList)>;
   Discovery(asio::io_context& io, const Config& config, Counters& counters, Log& log, OnList on_list);
   void start();
+  // Discovery is at another address now: its versions are of its own, so the whole list is fetched anew. The
+  // list that is held stands until then.
+  void redirect(const Address& address);
 
  private:
   asio::awaitable<void> run();
@@ -30,9 +34,12 @@
   Counters& counters_;
   Log& log_;
   OnList on_list_;
+  Address address_;
   Client client_;
+  asio::steady_timer pause_;  // between two connections
   std::uint64_t version_ = 0;
   bool have_list_ = false;
+  bool redirected_ = false;  // since the newest connection began
 };
 
 }  // namespace fennellane
--- a/src/net/limits.hpp
+++ b/src/net/limits.hpp
@@ -55,6 +55,7 @@
   std::size_t sockets = 1024;
   std::uint64_t memory_mb = 192;
   double disk_mb = 3;
+  bool operator==(const Allowance&) const = default;
 };
 
 // `slots` calls may be out at once, `held` messages be held.
--- a/src/net/notices.cpp
+++ b/src/net/notices.cpp
@@ -25,8 +25,10 @@
       counters_(counters),
       log_(log),
       on_taken_(std::move(on_taken)),
-      client_(io, config.discovery, config.limits, config.limits.body),
-      wake_(io) {}
+      address_(config.discovery),
+      client_(io, address_, config.limits, config.limits.body),
+      wake_(io),
+      pause_(io) {}
 
 void Notices::start() { asio::co_spawn(io_, run(), rethrow); }
 
@@ -35,6 +37,13 @@
   wake_.cancel();
 }
 
+void Notices::redirect(const Address& address) {
+  address_ = address;
+  redirected_ = true;
+  client_.redirect(address);
+  pause_.cancel();
+}
+
 asio::awaitable<unsigned> Notices::deliver(std::size_t count) {
   const Limits& limits = config_.limits;
   std::string body;
@@ -44,7 +53,7 @@
     const bool connected = co_await client_.connect(limits.notice_answer);
     if (!connected) co_return 0;
   }
-  std::string text = "POST /v1/notices HTTP/1.1\r\nHost: " + config_.discovery.text() +
+  std::string text = "POST /v1/notices HTTP/1.1\r\nHost: " + address_.text() +
                      "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
                      "\r\n\r\n" + body;
   const bool sent = co_await client_.send(std::move(text), limits.notice_answer);
@@ -71,6 +80,7 @@
       if (count > 0 && bytes > limits.notice_batch) break;
       ++count;
     }
+    redirected_ = false;
     const unsigned status = co_await deliver(count);
     if (status == 204) {
       most = SIZE_MAX;
@@ -82,9 +92,12 @@
       // Guards against a batch refused for one of its lines: they go one by one.
       if (status == 400) most = 1;
       client_.close();
-      asio::steady_timer pause(io_, backoff);
-      co_await pause.async_wait(asio::use_awaitable);
-      backoff = std::min(backoff * 2, limits.backoff_most);
+      if (!redirected_) {
+        pause_.expires_after(backoff);
+        asio::error_code cut_short;
+        co_await pause_.async_wait(asio::redirect_error(asio::use_awaitable, cut_short));
+      }
+      backoff = redirected_ ? limits.backoff_least : std::min(backoff * 2, limits.backoff_most);
       continue;
     }
     for (; count > 0; --count) {
--- a/src/net/notices.hpp
+++ b/src/net/notices.hpp
@@ -19,6 +19,7 @@
   Notices(asio::io_context& io, const Config& config, Counters& counters, Log& log, OnTaken on_taken);
   void start();
   void post(const PostNotice& notice);
+  void redirect(const Address& address);  // what is owed goes there from now on
 
  private:
   struct Line {
@@ -33,9 +34,12 @@
   Counters& counters_;
   Log& log_;
   OnTaken on_taken_;
+  Address address_;
   Client client_;
-  asio::steady_timer wake_;
+  asio::steady_timer wake_;   // something is owed
+  asio::steady_timer pause_;  // after a try that failed
   std::deque<Line> lines_;
+  bool redirected_ = false;  // since the newest try began
 };
 
 std::string notice_line(const PostNotice& notice);
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -15,8 +15,10 @@
 
 }  // namespace
 
-Relay::Relay(Config config, const std::string& state_folder)
+Relay::Relay(Config config, const std::string& state_folder, std::function<Config()> reread)
     : config_(std::move(config)),
+      reread_(std::move(reread)),
+      discovery_address_(config_.discovery),
       io_(1),
       log_(config_.name),
       journal_(state_folder, config_.limits.journal_file),
@@ -35,7 +37,9 @@
                   }),
       timer_(io_),
       stop_timer_(io_),
-      signals_(io_, SIGTERM, SIGINT, SIGUSR1) {}
+      signals_(io_, SIGTERM, SIGINT, SIGUSR1) {
+  signals_.add(SIGHUP);
+}
 
 void Relay::run() {
   std::signal(SIGPIPE, SIG_IGN);  // a log that nobody reads must not end the relay
@@ -101,6 +105,8 @@
     if (error) return;
     if (signal == SIGUSR1) {
       print_counters();
+    } else if (signal == SIGHUP) {
+      reload();
     } else if (!stopping_) {
       stop();
     }
@@ -108,6 +114,25 @@
   });
 }
 
+// A new file is taken whole or not at all: one that cannot be used changes nothing. What is held, out or owed
+// goes on, and discovery's list stands until the new address has sent one.
+void Relay::reload() {
+  try {
+    const Config wanted = reread_();
+    for (const std::string& part : fixed_parts_changed(config_, wanted)) {
+      log_("reload: " + part + " has changed and needs a restart; the old one stays");
+    }
+    ++counters_.reloads;
+    if (wanted.discovery.text() == discovery_address_.text()) return log_("reload: discovery has not moved");
+    discovery_address_ = wanted.discovery;
+    log_("reload: discovery is at " + discovery_address_.text());
+    discovery_.redirect(discovery_address_);
+    notices_.redirect(discovery_address_);
+  } catch (const ConfigError& e) {
+    log_(std::string("reload: the old configuration stays: ") + e.what());
+  }
+}
+
 // Listens, answers and journals on to the end. Clients are sent elsewhere as they are answered, no call
 // starts that may outlast the process, and what is still held is for the next life.
 void Relay::stop() {
--- a/src/net/relay.hpp
+++ b/src/net/relay.hpp
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
+#include <functional>
 #include <string>
 
 #include "config.hpp"
@@ -21,7 +22,9 @@
 
 class Relay {
  public:
-  Relay(Config config, const std::string& state_folder);  // throws ConfigError, JournalError
+  // `reread` gives the configuration as it stands now; throws ConfigError.
+  Relay(Config config, const std::string& state_folder,
+        std::function<Config()> reread);  // throws ConfigError, JournalError
 
   void run();  // until SIGTERM or SIGINT, and a while after it
 
@@ -44,9 +47,12 @@
   void restore();
   void await_signal();
   void stop();
+  void reload();
   void print_counters();
 
   const Config config_;
+  const std::function<Config()> reread_;
+  Address discovery_address_;
   asio::io_context io_;
   Log log_;
   Counters counters_;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -159,6 +159,13 @@
   Server server_;
 };
 
+// An address that refuses connections.
+std::string refusing_address() {
+  asio::io_context io;
+  tcp::acceptor free(io, {asio::ip::make_address("127.0.0.1"), 0});
+  return "127.0.0.1:" + std::to_string(free.local_endpoint().port());
+}
+
 // The program, in a folder of its own that outlasts each of its processes.
 class Program {
  public:
@@ -171,7 +178,18 @@
     port_ = free.local_endpoint().port();
     parts.listen = "127.0.0.1:" + std::to_string(port_);
     parts.discovery = discovery;
-    std::ofstream(folder_ + "/config.json") << config_json(parts);
+    parts_ = parts;
+    replace_config(config_json(parts));
+  }
+  // The file in one step, as a deployment does it.
+  void replace_config(const std::string& text) const {
+    std::ofstream(folder_ + "/new.json") << text;
+    fs::rename(folder_ + "/new.json", folder_ + "/config.json");
+  }
+  void move_discovery(const std::string& address) {
+    parts_.discovery = address;
+    replace_config(config_json(parts_));
+    signal(SIGHUP);
   }
   ~Program() {
     if (pid_ > 0) end(SIGKILL);
@@ -206,6 +224,12 @@
     std::ifstream in(folder_ + "/log");
     return {std::istreambuf_iterator<char>(in), {}};
   }
+  std::size_t logged(const std::string& text) const {
+    const std::string all = log();
+    std::size_t n = 0;
+    for (std::size_t at = 0; (at = all.find(text, at)) != std::string::npos; at += text.size()) ++n;
+    return n;
+  }
   // The status of the answer to a text sent on a new connection; 0 if there is none.
   unsigned ask(const std::string& text, bool end_sending = false) const {
     asio::io_context io;
@@ -226,6 +250,7 @@
 
  private:
   std::string folder_;
+  ConfigParts parts_;
   std::uint16_t port_ = 0;
   pid_t pid_ = 0;
 };
@@ -341,6 +366,65 @@
   EXPECT_TRUE(happens([&] { return host.count("a1") == 3; })) << relay.log();
 }
 
+// Guards against a reload that ends the program or leaves a part of it at the old address: the list is
+// fetched whole (the new versions are lower), and messages held and notices owed go on by it.
+TEST(Relay, GoesOnAtTheAddressOfANewConfiguration) {
+  Server first([](const Request&) { return answer("503 Full"); });
+  Server second([](const Request&) { return answer("200 OK"); });
+  Server failing([](const Request&) { return answer("500 Bad"); });
+  auto old_platform = std::make_unique<Platform>(std::vector<HostLine>{{"s-1", first.address()}});
+  Platform next({{"s-2", second.address()}, {"s-3", failing.address(), 8}}),
+      last({{"s-4", second.address(), 7}, {"s-5", failing.address(), 8}});
+  Program relay(old_platform->address());
+  relay.start();
+  EXPECT_EQ(relay.ask(request_text("held")), 202u);
+  ASSERT_TRUE(happens([&] { return first.count("held") >= 1; }));
+  relay.move_discovery(next.address());
+  EXPECT_TRUE(happens([&] { return second.count("held") == 1; })) << relay.log();
+  EXPECT_TRUE(happens([&] { return next.watches() >= 1; }));
+  // During an outage of discovery, and with a notice that the old address did not take.
+  old_platform.reset();
+  relay.move_discovery(refusing_address());
+  ASSERT_TRUE(happens([&] { return relay.logged("reload: discovery is at") == 2; })) << relay.log();
+  std::string bad = request_text("bad1", "x", "pay");
+  EXPECT_EQ(relay.ask(bad.replace(bad.find("dest=7"), 6, "dest=8")), 202u);
+  ASSERT_TRUE(happens([&] { return failing.count("bad1") == 1; })) << relay.log();
+  relay.move_discovery(last.address());
+  EXPECT_TRUE(happens([&] { return last.noticed("\"bad1\""); })) << relay.log();
+  EXPECT_TRUE(happens([&] { return last.watches() >= 1; })) << relay.log();
+  EXPECT_FALSE(next.noticed("\"bad1\""));
+  EXPECT_TRUE(relay.runs());
+}
+
+// Guards against half a file being taken: what cannot be used is said in one line and changes nothing.
+TEST(Relay, KeepsItsConfigurationWhereTheNewOneCannotBeUsed) {
+  Server host([](const Request&) { return answer("200 OK"); });
+  Platform platform({{"s-1", host.address()}});
+  Program relay(platform.address());
+  relay.start();
+  std::size_t said = 0;
+  for (const std::string bad : {"", "{\"name\":", "{}", "moved"}) {
+    ConfigParts parts;
+    parts.discovery = "discovery.example:8500";  // a name, and there is no DNS
+    relay.replace_config(bad == "moved" ? config_json(parts) : bad);
+    relay.signal(SIGHUP);
+    ++said;
+    ASSERT_TRUE(happens([&] { return relay.logged("the old configuration stays") == said; })) << relay.log();
+  }
+  ConfigParts other;
+  other.discovery = platform.address();
+  other.max_open = 9;
+  relay.replace_config(config_json(other));
+  relay.signal(SIGHUP);
+  EXPECT_TRUE(happens([&] { return relay.logged("needs a restart") == 2; })) << relay.log();
+  EXPECT_EQ(relay.ask(request_text("a1")), 202u);
+  EXPECT_TRUE(happens([&] { return host.count("a1") == 1; }));
+  // On a relay that drains, too.
+  relay.signal(SIGTERM);
+  relay.signal(SIGHUP);
+  EXPECT_EQ(relay.end(SIGTERM), 0);
+}
+
 TEST(CommandLine, RefusesABadConfigurationWithOneLineAndCodeTwo) {
   const std::string program = FENNELLANE_PROGRAM;
   FILE* pipe = ::popen((program + " serve --config /nonexistent --state /tmp 2>&1").c_str(), "r");
