Frame strictly, end spoilt answers by their first line, forget hosts that are gone

Now one plain length or one chunked, else 400 and close. - upstream.cpp broken(): a whole 503/504/410/429 head with a spoilt rest counted as not run and a single_shot went out again; an unreadable 200 counted as reset. Now only the first line of a spoilt answer counts. An answer has 1 s from its first byte, 32 interim answers at most; half a load report is none. - upstream.cpp read(): bytes behind an answer could be taken off the socket while idle and be read as the answer to the next call. Downstream likewise could close as idle on a request the loop had already taken off the socket. Both now wait for readability and read in their turn. - downstream.cpp: the first whole request has 2.5 s from accept (was 2 min). Where places are short those lingering, silent for 0.5 s or idle for 2 s make way, longest first (was: lowest number first, whatever its idle time). - reducer: hosts were kept by id for good, the module kept endpoints and keys, the pool empty lists. All are erased with the last call. Connections in use to a host that is gone, drains or moves close after their call. - a destination that discovery never named is turned away (400; 503 before the first list) instead of held. - limits: more places for clients on small machines, never fewer upstream connections than slots where they fit.

--- a/include/starlinghook/delivery.hpp
+++ b/include/starlinghook/delivery.hpp
@@ -193,6 +193,8 @@
   // One event; time never goes backwards. Actions are appended in the order in which they are to be carried
   // out.
   void handle(Time now, const Event& event, std::vector<Action>& actions);
+  // How much it remembers: messages, calls, endpoints and keys.
+  std::size_t records() const;
 
  private:
   class Policy;
--- a/src/delivery_policy.cpp
+++ b/src/delivery_policy.cpp
@@ -162,10 +162,13 @@
     set_timer();
   }
 
+  std::size_t records() const { return messages_.size() + calls_.size() + endpoints_.size() + keys_.size(); }
+
   void handle(Time now, const Event& event, std::vector<Action>& out) {
     now_ = now;
     out_ = &out;
     std::visit([this](const auto& e) { on(e); }, event);
+    forget();
     dispatch();
     set_timer();
   }
@@ -275,14 +278,18 @@
       std::set<EndpointId> named;
       for (const EndpointEntry& entry : e.entries) named.insert(entry.endpoint);
       for (auto& [id, endpoint] : endpoints_) {
-        if (!named.count(id)) endpoint.entry.condition = Condition::gone;
+        if (named.count(id)) continue;
+        endpoint.entry.condition = Condition::gone;
+        gone_.insert(id);
       }
     }
     for (const EndpointEntry& entry : e.entries) {
       std::pair key(entry.destination, routes_apart(entry) ? std::optional(entry.endpoint) : std::nullopt);
       Endpoint& endpoint = endpoints_[entry.endpoint];
       if (endpoint.route == nullptr) endpoint.lot = random_();
+      if (endpoint.entry.destination != entry.destination) leave_destination(endpoint.entry);
       endpoint.entry = entry;
+      if (entry.condition == Condition::gone) gone_.insert(entry.endpoint);
       endpoint.route = &routes_[key];
       const bool batches = entry.kind < s_.kinds.size() && s_.kinds[entry.kind].batch > 1;
       endpoint.route->burst_seconds = batches ? kBurstSeconds * kBatchBurst : kBurstSeconds;
@@ -296,6 +303,35 @@
     list_failures_ = 0;
   }
 
+  void leave_destination(const EndpointEntry& entry) {
+    auto it = destinations_.find(entry.destination);
+    if (it != destinations_.end()) it->second.endpoints.erase(entry.endpoint);
+  }
+
+  // Guards the memory of a long life against every endpoint and key that ever was: an endpoint that is gone
+  // is forgotten with its last call, a key with its last message and its quiet time. What a destination's
+  // health is stays with its route.
+  void forget() {
+    for (auto it = gone_.begin(); it != gone_.end();) {
+      auto found = endpoints_.find(*it);
+      const bool gone = found != endpoints_.end() && found->second.entry.condition == Condition::gone;
+      if (gone && (!found->second.out.empty() || found->second.probe_out)) {
+        ++it;
+        continue;
+      }
+      it = gone_.erase(it);
+      if (!gone) continue;
+      const EndpointEntry entry = found->second.entry;
+      leave_destination(entry);
+      endpoints_.erase(found);
+      if (routes_apart(entry)) routes_.erase({entry.destination, entry.endpoint});
+    }
+    for (; !quiet_.empty() && quiet_.front().first <= now_; quiet_.pop_front()) {
+      auto it = keys_.find(quiet_.front().second);
+      if (it != keys_.end() && it->second.line.empty() && it->second.quiet_until <= now_) keys_.erase(it);
+    }
+  }
+
   void on(const ListFailed&) {
     next_ask_ =
         now_ + std::min(kMultiplierMost * ++list_failures_, std::max(s_.ask_within / 2, s_.resolution));
@@ -930,7 +966,10 @@
     if (m.call != 0) return;
     MessageId id = m.facts.id;
     stop_waiting(m);
-    if (m.rules->sequential && m.facts.key != 0) std::erase(keys_.at(m.facts.key).line, id);
+    if (m.rules->sequential && m.facts.key != 0) {
+      std::erase(keys_.at(m.facts.key).line, id);
+      if (keys_.at(m.facts.key).line.empty()) quiet_.emplace_back(now_ + s_.key_quiet, m.facts.key);
+    }
     messages_.erase(id);
   }
 
@@ -956,6 +995,8 @@
   std::map<MessageId, Message> messages_;
   std::map<std::size_t, Call> calls_;
   std::map<std::uint64_t, KeyLine> keys_;
+  std::set<EndpointId> gone_;                         // not forgotten yet
+  std::deque<std::pair<Time, std::uint64_t>> quiet_;  // keys without a message, by when they may be forgotten
   std::size_t last_call_ = 0;
   Time safe_idle_ = kNever;  // connections idle for longer are not used
   Time idle_failed_ = kLongAgo;
@@ -975,6 +1016,7 @@
 Forwarder::~Forwarder() = default;
 Forwarder::Forwarder(Forwarder&&) noexcept = default;
 Forwarder& Forwarder::operator=(Forwarder&&) noexcept = default;
+std::size_t Forwarder::records() const { return policy_->records(); }
 void Forwarder::start(Time now, std::vector<Action>& actions) { policy_->start(now, actions); }
 void Forwarder::handle(Time now, const Event& event, std::vector<Action>& actions) {
   policy_->handle(now, event, actions);
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -14,6 +14,7 @@
     text += '=' + std::to_string(value);
   };
   add("clients", c.clients);
+  add("made_way", c.made_way);
   add("taken", c.taken);
   add("repeated", c.repeated);
   add("refused", c.refused);
@@ -22,6 +23,7 @@
   for (std::size_t i = 0; i < names.size(); ++i) add("answer." + std::string(names[i]), c.outcomes[i]);
   add("connects", c.connects);
   add("reused", c.reused);
+  add("spoilt", c.spoilt);
   add("delivered", c.delivered);
   add("withdrawn", c.withdrawn);
   add("deferred", c.deferred);
--- a/src/net/counters.hpp
+++ b/src/net/counters.hpp
@@ -11,7 +11,8 @@
 
 struct Counters {
   // Downstream.
-  std::uint64_t clients = 0;  // connections accepted
+  std::uint64_t clients = 0;   // connections accepted
+  std::uint64_t made_way = 0;  // of these, closed for another where all places were taken
   std::uint64_t taken = 0;
   std::uint64_t repeated = 0;   // an id already held or just ended
   std::uint64_t refused = 0;    // 503
@@ -21,6 +22,7 @@
   std::array<std::uint64_t, kOutcomes> outcomes{};
   std::uint64_t connects = 0;
   std::uint64_t reused = 0;
+  std::uint64_t spoilt = 0;  // answers that cannot be read or are none that the protocol knows
   // Ends.
   std::uint64_t delivered = 0;
   std::uint64_t withdrawn = 0;  // over before the relay ended it
--- a/src/net/downstream.cpp
+++ b/src/net/downstream.cpp
@@ -84,16 +84,28 @@
         request_(HttpReader::Kind::request, limits_.head, limits_.body) {}
 
   void start() {
-    wait_for_request();
+    arm(limits_.request);
     read();
   }
 
-  // Between requests, and none has come that has not been read yet.
+  // Between requests, as far as has been read.
+  bool quiet() const { return !closing_ && !request_.started() && in_.empty() && out_.empty(); }
+  // And none has come that has not been read yet.
   bool idle() const {
     asio::error_code ignored;
-    const bool quiet = !closing_ && !request_.started() && in_.empty() && out_.empty();
-    return quiet && socket_.available(ignored) == 0;
+    return quiet() && socket_.available(ignored) == 0;
   }
+  // How readily the connection makes way for another; among equals, that which has waited for longest. Only
+  // what has no request open makes way: a silent newcomer soon, one that was of use after a while.
+  enum class Claim { spent, silent, unused, newcomer, busy };
+  Claim claim(std::chrono::steady_clock::time_point now) const {
+    if (lingering_) return Claim::spent;
+    if (!quiet() || busy_) return Claim::busy;
+    if (served_) return now - since_ >= limits_.spare_idle ? Claim::unused : Claim::busy;
+    return now - since_ >= limits_.silent_first ? Claim::silent : Claim::newcomer;
+  }
+  std::chrono::steady_clock::time_point since() const { return since_; }
+  void touch() { busy_ = true; }  // bytes have come that will be read soon
 
   // Puts the answer into the ring and as much of it on its way as goes at once, so that it leaves before what
   // the relay does next.
@@ -116,6 +128,7 @@
     closing_ = true;
     if (lingering_) return;
     lingering_ = true;
+    since_ = std::chrono::steady_clock::now();
     asio::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     timer_.expires_after(limits_.linger);
@@ -132,31 +145,43 @@
   }
 
  private:
-  void wait_for_request() { arm(limits_.downstream_idle); }
+  void wait_for_request() {
+    since_ = std::chrono::steady_clock::now();
+    arm(limits_.downstream_idle);
+  }
   void arm(Time limit) {
     timer_.expires_after(limit);
     timer_.async_wait([self = shared_from_this()](asio::error_code e) {
       if (e || self->lingering_ || self->timer_.expiry() > std::chrono::steady_clock::now()) return;
+      // Guards against an answer that nobody reads holding its connection for good.
+      if (self->closing_ || !self->out_.empty()) return self->drop();
+      if (self->idle()) return self->drop();
       // Guards against half a request holding its connection for good.
       if (self->request_.started()) self->answer(408);
       self->flush_then_read();
+      if (!self->out_.empty()) return self->arm(self->limits_.linger);
       self->finish();
     });
   }
 
+  // Waits first and reads then. Guards against closing as idle a connection whose request the loop has taken
+  // off the socket and not yet shown: what has come is seen by idle() until it is processed.
   void read() {
     if (reading_ || !socket_.is_open()) return;
     reading_ = true;
-    const std::span<char> space = in_.space();
-    socket_.async_read_some(asio::buffer(space.data(), space.size()),
-                            [self = shared_from_this()](asio::error_code e, std::size_t n) {
-                              self->reading_ = false;
-                              if (!self->socket_.is_open()) return;
-                              if (e && e != asio::error::eof) return self->drop();
-                              self->in_.commit(n);
-                              self->ended_ = e == asio::error::eof;
-                              self->process();
-                            });
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](asio::error_code e) {
+      self->reading_ = false;
+      self->busy_ = false;
+      if (!self->socket_.is_open()) return;
+      if (e) return self->drop();
+      const std::span<char> space = self->in_.space();
+      const std::size_t n = self->socket_.read_some(asio::buffer(space.data(), space.size()), e);
+      if (e == asio::error::would_block) return self->read();
+      if (e && e != asio::error::eof) return self->drop();
+      self->in_.commit(n);
+      self->ended_ = e == asio::error::eof;
+      self->process();
+    });
   }
 
   void process() {
@@ -165,9 +190,11 @@
       const bool fresh = !request_.started();
       const bool head = request_.head_done();
       in_.consume(request_.feed(in_.data()));
-      if (fresh && request_.started() && !request_.done()) arm(limits_.request);
+      if (served_ && fresh && request_.started() && !request_.done()) arm(limits_.request);
       if (request_.failed()) {
         answer(request_.refusal());
+        in_.clear();  // nothing behind it is read as a request
+        arm(limits_.linger);
         break;
       }
       if (!head && request_.head_done() && !request_.done() && request_.header("expect") == "100-continue") {
@@ -176,6 +203,7 @@
       if (request_.done()) {
         handle();
         request_.reset();
+        served_ = true;
         wait_for_request();
       }
     }
@@ -231,7 +259,10 @@
   RingBuffer in_;
   RingBuffer out_;
   HttpReader request_;
+  std::chrono::steady_clock::time_point since_ = std::chrono::steady_clock::now();  // it has been as it is
+  bool served_ = false;  // a whole request has come
   bool reading_ = false;
+  bool busy_ = false;  // bytes have come that have not been read
   bool writing_ = false;
   bool ended_ = false;    // the client sends no more
   bool closing_ = false;  // nothing more is answered
@@ -268,7 +299,7 @@
     if (error == asio::error::operation_aborted) return;
     // Guards against spinning, or ending, where no descriptor is left.
     if (error) {
-      log_("downstream: cannot accept: " + error.message());
+      if (!std::exchange(said_, true)) log_("downstream: cannot accept: " + error.message());
       return pause_accepting();
     }
     const bool room = make_room();
@@ -292,23 +323,38 @@
   });
 }
 
-// Guards the descriptors: where all places are taken, the connection that has been idle for longest makes
-// way.
+// Guards the descriptors, and usual clients against those that only hold places: where all are taken, the one
+// with the least claim makes way.
 bool Downstream::make_room() {
   if (sessions_.size() + 1 < config_.limits.downstream_connections) return true;
-  for (const auto& [number, session] : sessions_) {
-    if (!session->idle()) continue;
-    const auto kept = session;
-    kept->drop();
+  const auto now = std::chrono::steady_clock::now();
+  using Key = std::pair<Session::Claim, std::chrono::steady_clock::time_point>;
+  while (true) {
+    std::shared_ptr<Session> least;
+    Key key{Session::Claim::busy, {}};
+    for (const auto& [number, session] : sessions_) {
+      const Key k{session->claim(now), session->since()};
+      if (k.first == Session::Claim::busy || (least && key <= k)) continue;
+      least = session;
+      key = k;
+    }
+    if (!least) return false;
+    // Guards against closing on a request that has come and has not been read: it is read in its turn.
+    if (key.first != Session::Claim::spent && !least->idle()) {
+      least->touch();
+      continue;
+    }
+    ++counters_.made_way;
+    least->drop();
     return true;
   }
-  return false;
 }
 
 void Downstream::answer(const Answer& answer) {
   const auto it = sessions_.find(answer.reply);
   if (it == sessions_.end()) return;
   if (answer.with == Reply::taken) return it->second->answer(202);
+  if (answer.with == Reply::unknown) return it->second->answer(400);
   const auto again = std::chrono::ceil<std::chrono::seconds>(answer.again).count();
   it->second->answer(503, again > 0 ? "Retry-After: " + std::to_string(again) + "\r\n" : "");
 }
--- a/src/net/downstream.hpp
+++ b/src/net/downstream.hpp
@@ -49,6 +49,7 @@
   std::map<ReplyTo, std::shared_ptr<Session>> sessions_;
   ReplyTo next_ = 1;
   bool ready_ = false;
+  bool said_ = false;  // that a connection cannot be accepted
   bool sending_away_ = false;
 };
 
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -1,13 +1,15 @@
 #include "http.hpp"
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 
 namespace fennellane {
 namespace {
 
-constexpr unsigned kBadRequest = 400, kTooLarge = 413, kHeadTooLarge = 431;
-constexpr std::size_t kLineCost = 4;  // what a header line has beside name and value
+constexpr unsigned kBadRequest = 400, kTooLarge = 413, kHeadTooLarge = 431, kNoSuchVersion = 505;
+constexpr std::size_t kFirstLine = 13;  // "HTTP/1.1 200 "
+constexpr std::size_t kLineCost = 4;    // what a header line has beside name and value
 
 char lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
 
@@ -22,6 +24,7 @@
   http_parser_init(&parser_, kind_ == Kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
   parser_.data = this;
   head_size_ = 0;
+  first_line_.clear();
   target_.clear();
   headers_.clear();
   in_value_ = false;
@@ -38,16 +41,64 @@
 }
 
 int HttpReader::head_complete() {
-  for (auto& [name, value] : headers_) std::transform(name.begin(), name.end(), name.begin(), lower);
+  for (auto& [name, value] : headers_) {
+    std::transform(name.begin(), name.end(), name.begin(), lower);
+    value.erase(value.find_last_not_of(" \t") + 1);  // the space around a value is no part of it
+  }
   head_done_ = true;
+  // HTTP/0.9 answers have no head, and what another major version means is not known here.
+  if (parser_.http_major != 1) refusal_ = kNoSuchVersion;
+  if (refusal_ == 0) refusal_ = framing_fault();
+  if (refusal_ != 0) return -1;
   // Guards against taking in a body only to refuse it; without a length it grows to the bound.
-  if (kind_ == Kind::request && (parser_.flags & F_CONTENTLENGTH) && parser_.content_length > most_body_) {
+  if ((parser_.flags & F_CONTENTLENGTH) && parser_.content_length > most_body_) {
     refusal_ = kTooLarge;
     return -1;
   }
   return 0;
 }
 
+// Guards against two readings of where a message ends, of which the other one may hide a second message:
+// names that are no names, a length that is not one plain number, a coding other than one `chunked`, both at
+// once.
+unsigned HttpReader::framing_fault() const {
+  const auto in_name = [](unsigned char c) {
+    return std::isalnum(c) != 0 ||
+           (c != 0 &&
+            std::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(c)) != std::string_view::npos);
+  };
+  int lengths = 0, codings = 0;
+  for (const auto& [name, value] : headers_) {
+    if (name.empty() || !std::all_of(name.begin(), name.end(), in_name)) return kBadRequest;
+    if (name == "content-length") {
+      ++lengths;
+      if (whole_number(value, UINT64_MAX - 1) != parser_.content_length) return kBadRequest;
+    }
+    if (name == "transfer-encoding") {
+      ++codings;
+      std::string coding = value;
+      std::transform(coding.begin(), coding.end(), coding.begin(), lower);
+      if (coding != "chunked") return kBadRequest;
+    }
+  }
+  return lengths + codings > 1 ? kBadRequest : 0;
+}
+
+bool HttpReader::first_line_says(unsigned status) const {
+  const std::string_view line = first_line_;
+  if (line.size() < kFirstLine || !line.starts_with("HTTP/1.") || (line[7] != '0' && line[7] != '1'))
+    return false;
+  const char after = line[12];
+  return line[8] == ' ' && line.substr(9, 3) == std::to_string(status) &&
+         (after == ' ' || after == '\r' || after == '\n');
+}
+
+// Kept beside the parser, which forgets it where it cannot read on.
+void HttpReader::note_first_line(std::string_view bytes) {
+  if (first_line_.empty()) bytes.remove_prefix(std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
+  first_line_ += bytes.substr(0, kFirstLine - std::min(kFirstLine, first_line_.size()));
+}
+
 const http_parser_settings& HttpReader::callbacks() {
   static const http_parser_settings settings = [] {
     http_parser_settings s;
@@ -104,6 +155,7 @@
 
 std::size_t HttpReader::feed(std::string_view bytes) {
   if (done_ || failed() || bytes.empty()) return 0;
+  if (kind_ == Kind::response && first_line_.size() < kFirstLine) note_first_line(bytes);
   const std::size_t used = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
   if (!done_ && refusal_ == 0 && HTTP_PARSER_ERRNO(&parser_) != HPE_OK) refusal_ = kBadRequest;
   return std::min(used, bytes.size());
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -33,6 +33,8 @@
   bool keep_alive() const { return keep_alive_; }
 
   unsigned status() const { return parser_.status_code; }
+  // Of a response: whether its first line says so, whatever became of the rest.
+  bool first_line_says(unsigned status) const;
   std::string_view method() const;
   const std::string& target() const { return target_; }
   // By its name in lower case; a single comma for one that came twice.
@@ -44,12 +46,15 @@
   static const http_parser_settings& callbacks();
   bool grow_head(std::size_t count);
   int head_complete();
+  unsigned framing_fault() const;
+  void note_first_line(std::string_view bytes);
 
   const Kind kind_;
   const std::size_t most_head_;
   const std::size_t most_body_;
   http_parser parser_{};
   std::size_t head_size_ = 0;
+  std::string first_line_;  // of a response, its beginning
   std::string target_;
   std::vector<std::pair<std::string, std::string>> headers_;
   bool in_value_ = false;
--- a/src/net/limits.cpp
+++ b/src/net/limits.cpp
@@ -9,12 +9,15 @@
   // Guards the descriptors: files, epoll, timers, the listener, discovery and notices take a few.
   constexpr std::size_t kOthers = 32;
   const std::size_t sockets = std::max(allowance.sockets, kOthers + 8) - kOthers;
-  // Guards the memory: one part in eight for upstream buffers, and a client's body and rings count as 96 KiB.
+  // Guards the memory: one part in eight for upstream buffers, and one in two for clients, whose body and
+  // rings count as 96 KiB. Clients may hold a third of all descriptors for requests, so most of the rest is
+  // theirs.
   const std::size_t memory = static_cast<std::size_t>(allowance.memory_mb) * 1024 * 1024;
-  limits.upstream_connections = std::clamp<std::size_t>(memory / 8 / (limits.call_ring + limits.read_ring), 4,
-                                                        std::min(sockets / 2, slots * 6 + 64));
+  const std::size_t most_upstream = std::max<std::size_t>(4, std::min(sockets * 2 / 5, slots * 6 + 64));
+  limits.upstream_connections = std::clamp(memory / 8 / (limits.call_ring + limits.read_ring),
+                                           std::min(slots, most_upstream), most_upstream);
   limits.downstream_connections =
-      std::clamp<std::size_t>(memory / 4 / (96 * 1024), 4, sockets - limits.upstream_connections);
+      std::clamp<std::size_t>(memory / 2 / (96 * 1024), 4, sockets - limits.upstream_connections);
   limits.held = held;
   limits.unnoticed = held * 2 + 64;
   // While a journal is compacted the old and the new file stand side by side.
--- a/src/net/limits.hpp
+++ b/src/net/limits.hpp
@@ -28,15 +28,21 @@
   std::size_t unnoticed = 0;  // these and the ended ones whose notice has not been taken
   std::size_t remembered_ids = 4096;
   std::uint32_t most_destination = 65535;
+  unsigned interim_answers = 32;  // in front of one answer
 
   // Times.
-  Time request = std::chrono::seconds(5);  // from a request's first byte to its last
+  // From a request's first byte to its last, and for a connection's first one from when it was accepted.
+  // Guards the places against clients that connect and say nothing, or half of something.
+  Time request = std::chrono::milliseconds(2500);
   Time downstream_idle = std::chrono::minutes(2);
-  Time linger = std::chrono::seconds(1);  // of a closing connection, so that its answer is read
+  Time spare_idle = std::chrono::seconds(2);  // where places are short, the longest idle make way after this
+  Time silent_first = std::chrono::milliseconds(500);  // and those that have said nothing yet after this
+  Time linger = std::chrono::seconds(2);               // of a closing connection, so that its answer is read
   Time connect{};
   Time upstream_idle{};
+  Time answer_rest = std::chrono::seconds(1);    // from a host's answer's first byte to its last
   Time refused_again = std::chrono::seconds(1);  // advice with 503, where the settings allow any
-  Time accept_backoff = std::chrono::milliseconds(50);
+  Time accept_backoff = std::chrono::milliseconds(10);
   Time notice_answer = std::chrono::seconds(2);
   Time discovery_answer = std::chrono::seconds(3);
   // An empty line comes every 2 s. Guards against a dead watch holding a drain back: it counts as told after
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -53,6 +53,12 @@
     ++counters_.repeated;
     return effect(Answer{o.reply, Reply::taken, Time(0)});
   }
+  // Guards against holding to its deadline what can never be delivered. Before discovery has told its list,
+  // it may only be too early.
+  if (o.destination >= destinations_.size() || !destinations_[o.destination]) {
+    ++(listed_ ? counters_.malformed : counters_.refused);
+    return effect(Answer{o.reply, listed_ ? Reply::unknown : Reply::refused, refused_again_});
+  }
   const bool full = streams_.size() - given_up_ >= limits_.held || streams_.size() >= limits_.unnoticed;
   if (full || !o.journal_has_room) {
     ++counters_.refused;
@@ -112,7 +118,9 @@
   if (it == streams_.end() || !it->second.out || c.attempt + 1 != it->second.attempts) return;
   Stream& stream = it->second;
   stream.out = false;
-  const std::uint32_t destination = cluster_.at(stream.host).destination;
+  Host& host = cluster_.at(stream.host);
+  --host.out;
+  const std::uint32_t destination = host.entry.destination;
   ++counters_.outcomes[static_cast<std::size_t>(c.outcome)];
   starlinghook::AttemptEnded ended;
   ended.id = c.stream;
@@ -134,7 +142,9 @@
   if (c.told_wait > Time(0)) {
     hold_back([&](const HostEntry& host) { return host.destination == destination; });
   }
+  const HostId called = ended.endpoint;
   decide(ended);
+  forget(called);
 }
 
 // Guards against a call that was decided on before a wait or a drain was told and is sent after it: a new
@@ -142,40 +152,54 @@
 template <class Concerned>
 void Reducer::hold_back(Concerned concerned) {
   for (const auto& [id, stream] : streams_) {
-    if (stream.out && concerned(cluster_.at(stream.host))) effect(HoldBack{id, stream.attempts - 1});
+    if (stream.out && concerned(cluster_.at(stream.host).entry)) effect(HoldBack{id, stream.attempts - 1});
   }
 }
 
 HostId Reducer::intern(const std::string& host) {
-  const auto [it, added] = host_ids_.emplace(host, static_cast<HostId>(cluster_.size()));
-  if (added) cluster_.emplace_back();
+  const auto [it, added] = host_ids_.emplace(host, next_host_);
+  if (added) cluster_[next_host_++].entry.id = host;
   return it->second;
 }
 
+// Guards the memory against every host that ever was: one that is gone is forgotten with its last call.
+void Reducer::forget(HostId id) {
+  const auto it = cluster_.find(id);
+  if (it == cluster_.end() || it->second.out > 0 || it->second.entry.condition != Condition::gone) return;
+  host_ids_.erase(it->second.entry.id);
+  cluster_.erase(it);
+}
+
 void Reducer::on(const ClusterChanged& c) {
   starlinghook::ListChanged change;
   change.whole = c.list.whole;
   change.cached = c.cached;
   if (c.list.whole) {  // what is not in it is gone
+    listed_ = listed_ || !c.cached;
     std::unordered_set<std::string> named;
     for (const HostEntry& host : c.list.hosts) named.insert(host.id);
-    for (HostId id = 0; id < cluster_.size(); ++id) {
-      if (cluster_[id].condition == Condition::gone || named.count(cluster_[id].id)) continue;
-      cluster_[id].condition = Condition::gone;
-      effect(CloseIdle{id});
+    for (auto& [id, host] : cluster_) {
+      if (host.entry.condition == Condition::gone || named.count(host.entry.id)) continue;
+      host.entry.condition = Condition::gone;
+      effect(RetireHost{id});
     }
   }
-  for (const HostEntry& host : c.list.hosts) {
-    const HostId id = intern(host.id);
-    const bool moved = cluster_[id].id == host.id && host.address.text() != cluster_[id].address.text();
-    if (host.condition != Condition::ready || moved) {
-      effect(CloseIdle{id});
-    }
-    cluster_[id] = host;
-    change.entries.push_back({id, host.destination, host.zone, host.kind, host.rate, host.condition});
+  for (const HostEntry& entry : c.list.hosts) {
+    if (entry.condition == Condition::gone && !host_ids_.count(entry.id)) continue;  // never heard of
+    const bool known = host_ids_.count(entry.id) > 0;
+    const HostId id = intern(entry.id);
+    Host& host = cluster_.at(id);
+    // Guards a host that comes at a new address against a connection to the old one.
+    const bool moved = known && entry.address.text() != host.entry.address.text();
+    if (entry.condition != Condition::ready || moved) effect(RetireHost{id});
+    host.entry = entry;
+    if (entry.destination >= destinations_.size()) destinations_.resize(entry.destination + 1);
+    destinations_[entry.destination] = true;
+    change.entries.push_back({id, entry.destination, entry.zone, entry.kind, entry.rate, entry.condition});
   }
   hold_back([](const HostEntry& host) { return host.condition != Condition::ready; });
   decide(change);
+  for (auto it = cluster_.begin(); it != cluster_.end();) forget((it++)->first);
 }
 
 void Reducer::on(const NoticeTaken& n) {
@@ -196,7 +220,9 @@
 // --- Actions
 void Reducer::carry(const starlinghook::Send& a) {
   Stream& stream = streams_.at(a.id);
-  const HostEntry& host = cluster_.at(a.endpoint);
+  Host& target = cluster_.at(a.endpoint);
+  ++target.out;
+  const HostEntry& host = target.entry;
   stream.host = a.endpoint;
   stream.out = true;
   const std::uint32_t attempt = stream.attempts++;
--- a/src/net/reducer.hpp
+++ b/src/net/reducer.hpp
@@ -87,7 +87,7 @@
 struct RecordEnded {
   StreamId stream = 0;
 };
-enum class Reply { taken, refused };
+enum class Reply { taken, refused, unknown };  // unknown: no such destination
 struct Answer {
   ReplyTo reply = 0;
   Reply with{};
@@ -113,6 +113,9 @@
 struct CloseIdle {
   HostId host = 0;
 };
+struct RetireHost {  // its connections close: idle ones at once, others as their calls end
+  HostId host = 0;
+};
 struct PostNotice {
   StreamId stream = 0;
   std::string id;
@@ -125,8 +128,9 @@
 struct Say {
   std::string text;
 };
-using Effect = std::variant<RecordTaken, RecordAttempt, RecordOutcome, RecordGivenUp, RecordEnded, Answer,
-                            StartCall, CancelCall, HoldBack, CloseIdle, PostNotice, SetTimer, Say>;
+using Effect =
+    std::variant<RecordTaken, RecordAttempt, RecordOutcome, RecordGivenUp, RecordEnded, Answer, StartCall,
+                 CancelCall, HoldBack, CloseIdle, RetireHost, PostNotice, SetTimer, Say>;
 
 class Reducer {
  public:
@@ -136,13 +140,19 @@
   std::vector<Effect> reduce(Time now, const Input& input);
 
   std::size_t streams() const { return streams_.size(); }
+  std::size_t hosts() const { return cluster_.size(); }
+  // All that is remembered of streams, hosts and ids, the module's part included.
+  std::size_t records() const {
+    return streams_.size() + by_id_.size() + ended_.size() + ended_ids_.size() + host_ids_.size() +
+           cluster_.size() + forwarder_.records();
+  }
 
  private:
   struct Stream {
     std::string id;
     Body body;
     std::uint32_t attempts = 0;
-    HostId host = 0;  // of the newest attempt
+    HostId host = 0;  // of the newest attempt; in the cluster as long as it is out
     bool out = false;
     bool given_up = false;
   };
@@ -174,6 +184,7 @@
   void hold_back(Concerned concerned);
   void end(std::map<StreamId, Stream>::iterator it);
   HostId intern(const std::string& host);
+  void forget(HostId host);
   template <class E>
   void effect(E e) {
     effects_.emplace_back(std::move(e));
@@ -194,7 +205,15 @@
   std::deque<std::string> ended_;  // ids that ended last
   std::unordered_set<std::string> ended_ids_;
   std::unordered_map<std::string, HostId> host_ids_;
-  std::vector<HostEntry> cluster_;  // by HostId
+  // The cluster: what discovery names, and hosts that are gone for as long as a call to them is out.
+  struct Host {
+    HostEntry entry;
+    std::size_t out = 0;  // calls
+  };
+  std::map<HostId, Host> cluster_;
+  HostId next_host_ = 0;
+  std::vector<bool> destinations_;  // those that discovery has ever named
+  bool listed_ = false;             // discovery has told a whole list in this life
   Time timer_ = Time::max();
 };
 
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -23,7 +23,7 @@
       log_(config_.name),
       journal_(state_folder, config_.limits.journal_file),
       reducer_(config_.boot.settings, config_.limits, journal_.next_stream(), counters_),
-      upstream_(io_, config_, counters_, log_, [this](const CallEnded& ended) { input(ended); }),
+      upstream_(io_, config_, counters_, [this](const CallEnded& ended) { input(ended); }),
       notices_(io_, config_, counters_, log_, [this](StreamId stream) { input(NoticeTaken{stream}); }),
       discovery_(io_, config_, counters_, log_,
                  [this](HostList list) {
@@ -91,6 +91,7 @@
 void Relay::carry(CancelCall& e) { upstream_.cancel(e); }
 void Relay::carry(HoldBack& e) { upstream_.hold_back(e); }
 void Relay::carry(CloseIdle& e) { upstream_.close_idle(e.host); }
+void Relay::carry(RetireHost& e) { upstream_.retire(e.host); }
 void Relay::carry(PostNotice& e) { notices_.post(e); }
 void Relay::carry(SetTimer& e) {
   timer_.expires_at(steady_clock::time_point(duration_cast<steady_clock::duration>(e.at)));
--- a/src/net/relay.hpp
+++ b/src/net/relay.hpp
@@ -40,6 +40,7 @@
   void carry(CancelCall& e);
   void carry(HoldBack& e);
   void carry(CloseIdle& e);
+  void carry(RetireHost& e);
   void carry(PostNotice& e);
   void carry(SetTimer& e);
   void carry(Say& e);
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -57,26 +57,35 @@
   return m;
 }
 
+namespace {
+constexpr double kMostReport = 1e9;  // calls a second
+}
+
 starlinghook::LoadReport load_report(std::string_view text, const wire::BootInfo& boot) {
   starlinghook::LoadReport report;
   if (!boot.settings.reports_allowance) return report;
   const std::string& allowance = boot.report_names[static_cast<std::size_t>(boot.allowance_field)];
   const std::string& limit = boot.report_names[static_cast<std::size_t>(boot.limit_field)];
-  int found = 0;
+  bool has_allowance = false, has_limit = false;
   while (!text.empty()) {
     const std::string_view pair = text.substr(0, text.find(','));
     text.remove_prefix(std::min(text.size(), pair.size() + 1));
     const std::size_t equals = pair.find('=');
-    if (equals == std::string_view::npos) continue;
+    if (equals == std::string_view::npos) return {};
     const std::string_view name = pair.substr(0, equals), number = pair.substr(equals + 1);
-    double value = 0;
-    const auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), value);
-    if (error != std::errc() || !std::isfinite(value) || value < 0) continue;
-    if (name == allowance) report.allowance_left = value;
-    if (name == limit) report.limit = value;
-    found += name == allowance || name == limit;
+    if (name != allowance && name != limit) continue;
+    double& field = name == allowance ? report.allowance_left : report.limit;
+    bool& seen = name == allowance ? has_allowance : has_limit;
+    const char* const last = number.data() + number.size();
+    const auto [end, error] = std::from_chars(number.data(), last, field);
+    // Guards against half a report: one that cannot be read in every part is none.
+    if (seen || error != std::errc() || end != last || !std::isfinite(field) || field < 0 ||
+        field > kMostReport) {
+      return {};
+    }
+    seen = true;
   }
-  report.present = found == 2;
+  report.present = has_allowance && has_limit;
   return report;
 }
 
@@ -116,6 +125,7 @@
       if (!self->socket_.is_open() || self->held_back_) return;  // given up meanwhile
       if (e) return self->end(Outcome::connect_failed);
       self->socket_.set_option(tcp::no_delay(true), e);
+      self->socket_.non_blocking(true, e);
       self->arm_at(self->deadline_);
       self->write();
       self->read();
@@ -145,6 +155,7 @@
     held_back_ = true;
     asio::post(pool_.io_, [self = shared_from_this()] { self->end(Outcome::not_sent); });
   }
+  void retire() { retired_ = true; }
   void close() {
     asio::error_code ignored;
     timer_.cancel();
@@ -165,7 +176,8 @@
   void take(StartCall call) {
     call_ = std::move(call);
     busy_ = true;
-    started_ = written_ = false;
+    started_ = written_ = answering_ = false;
+    interim_ = 0;
     answer_.reset();
     out_.clear();
     deadline_ = std::chrono::steady_clock::now() + std::max(call_.timeout, Time(1000));
@@ -182,6 +194,7 @@
     timer_.expires_at(at);
     timer_.async_wait([self = shared_from_this()](asio::error_code e) {
       if (e || !self->busy_ || self->timer_.expiry() > std::chrono::steady_clock::now()) return;
+      if (self->answering_) return self->spoilt();
       self->end(self->written_ ? Outcome::timeout : Outcome::connect_failed);
     });
   }
@@ -199,16 +212,20 @@
                              });
   }
 
+  // Waits first and reads then. Guards against bytes that came behind an answer being taken off the socket
+  // while the connection is idle, unseen by closed(), and read as the answer to its next call.
   void read() {
-    const std::span<char> space = in_.space();
-    socket_.async_read_some(asio::buffer(space.data(), space.size()),
-                            [self = shared_from_this()](asio::error_code e, std::size_t n) {
-                              if (!self->socket_.is_open()) return;
-                              self->in_.commit(n);
-                              if (!self->busy_) return self->drop_idle();
-                              if (e && e != asio::error::eof) return self->broken();
-                              self->heard(e == asio::error::eof);
-                            });
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](asio::error_code e) {
+      if (!self->socket_.is_open()) return;
+      if (!self->busy_) return self->drop_idle();
+      if (e) return self->broken();
+      const std::span<char> space = self->in_.space();
+      const std::size_t n = self->socket_.read_some(asio::buffer(space.data(), space.size()), e);
+      if (e == asio::error::would_block) return self->read();
+      self->in_.commit(n);
+      if (e && e != asio::error::eof) return self->broken();
+      self->heard(e == asio::error::eof);
+    });
   }
 
   // Guards against bytes that no call asked for being read as the answer to the next one.
@@ -218,35 +235,50 @@
   }
 
   void heard(bool ended) {
+    // Guards against an answer that begins and does not end: it has a short time of its own.
+    if (!answering_ && !in_.empty()) {
+      answering_ = true;
+      arm_at(std::min(deadline_, std::chrono::steady_clock::now() + pool_.config_.limits.answer_rest));
+    }
     while (!in_.empty() && !answer_.done() && !answer_.failed()) {
       in_.consume(answer_.feed(in_.data()));
-      // An interim answer is not the answer.
-      if (answer_.done() && answer_.status() < 200) answer_.reset();
+      // An interim answer is not the answer, and there may be only so many.
+      if (interim() && interim_++ < pool_.config_.limits.interim_answers) {
+        answer_.reset();
+        answering_ = !in_.empty();
+        if (!answering_) arm_at(deadline_);
+      }
     }
-    answer_.take_body();  // means nothing
     if (ended) answer_.end_of_input();
-    if (answer_.failed()) {
-      pool_.log_("upstream: an answer that cannot be read");
-      return broken();
-    }
+    if (answer_.failed() || interim()) return spoilt();
     if (answer_.done()) return answered(!ended && written_ && in_.empty() && answer_.keep_alive());
     if (ended) return broken();
     read();
   }
 
-  // The connection ended in the middle. A whole head of an answer stands; before the call's last byte was
-  // written it cannot have run.
+  bool interim() const { return answer_.done() && answer_.status() >= 100 && answer_.status() < 200; }
+
+  // An answer that cannot be read to its end. Where its first line told that the message is delivered, that
+  // is true; any other tells nothing, so the call may have run, whatever its head said.
+  void spoilt() {
+    ++pool_.counters_.spoilt;
+    if (answer_.first_line_says(200)) return end(Outcome::delivered);
+    end(written_ ? Outcome::error : Outcome::connect_failed);
+  }
+
+  // The connection ended in the middle. Before the call's last byte was written it cannot have run.
   void broken() {
-    if (answer_.head_done() && !answer_.failed() && answer_.status() >= 200) return answered(false);
+    if (answer_.first_line_says(200)) return end(Outcome::delivered);
     end(written_ ? Outcome::reset : Outcome::connect_failed);
   }
 
   void answered(bool keep) {
     const AnswerMeaning m = meaning(answer_);
     if (!m.known) {
-      pool_.log_("upstream: an answer with status " + std::to_string(answer_.status()));
+      ++pool_.counters_.spoilt;
       keep = false;
     }
+    keep = keep && !retired_;
     CallEnded ended{call_.stream, call_.attempt, m.outcome, m.over, m.told_wait, m.no_slot, {}};
     if (const auto text = answer_.header("x-load-report"))
       ended.report = load_report(*text, pool_.config_.boot);
@@ -267,6 +299,7 @@
     timer_.cancel();
     pool_.calls_.erase(call_.stream);
     call_.body.reset();
+    answer_.take_body();
   }
   void finish(const CallEnded& ended, bool kept) {
     if (!kept) {
@@ -289,21 +322,21 @@
   Time idle_since_{};
   bool busy_ = false;
   bool held_back_ = false;
+  bool retired_ = false;  // closes after its call
   bool started_ = false;  // a byte of the call may be on its way
   bool written_ = false;
+  bool answering_ = false;  // a byte of the answer has come
+  unsigned interim_ = 0;
 };
 
-Upstream::Upstream(asio::io_context& io, const Config& config, Counters& counters, Log& log, OnEnd on_end)
-    : io_(io), config_(config), counters_(counters), log_(log), on_end_(std::move(on_end)) {}
+Upstream::Upstream(asio::io_context& io, const Config& config, Counters& counters, OnEnd on_end)
+    : io_(io), config_(config), counters_(counters), on_end_(std::move(on_end)) {}
 Upstream::~Upstream() = default;
 
 void Upstream::report(const CallEnded& end) { on_end_(end); }
 
 void Upstream::start(StartCall call) {
-  auto& pool = idle_[call.host];
-  while (!pool.empty()) {
-    const Pointer connection = pool.back();
-    pool.pop_back();
+  while (const Pointer connection = take_idle(call.host)) {
     if (connection->closed()) {
       connection->close();
       continue;
@@ -356,12 +389,31 @@
   connection->rest(config_.limits.upstream_idle);
 }
 
+Upstream::Pointer Upstream::take_idle(HostId host) {
+  const auto pool = idle_.find(host);
+  if (pool == idle_.end()) return nullptr;
+  const Pointer connection = pool->second.back();
+  pool->second.pop_back();
+  if (pool->second.empty()) idle_.erase(pool);
+  return connection;
+}
+
 void Upstream::forget_idle(const Connection& connection) {
-  std::erase_if(idle_[connection.host()], [&](const Pointer& p) { return p.get() == &connection; });
+  const auto pool = idle_.find(connection.host());
+  if (pool == idle_.end()) return;
+  std::erase_if(pool->second, [&](const Pointer& p) { return p.get() == &connection; });
+  if (pool->second.empty()) idle_.erase(pool);
 }
 
 void Upstream::close_idle(HostId host) {
-  for (const Pointer& connection : std::exchange(idle_[host], {})) connection->close();
+  while (const Pointer connection = take_idle(host)) connection->close();
+}
+
+void Upstream::retire(HostId host) {
+  close_idle(host);
+  for (const auto& [stream, connection] : calls_) {
+    if (connection->host() == host) connection->retire();
+  }
 }
 
 }  // namespace fennellane
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -10,7 +10,6 @@
 
 #include "counters.hpp"
 #include "http.hpp"
-#include "log.hpp"
 #include "reducer.hpp"
 
 namespace fennellane {
@@ -29,7 +28,7 @@
 class Upstream {
  public:
   using OnEnd = std::function<void(const CallEnded&)>;
-  Upstream(asio::io_context& io, const Config& config, Counters& counters, Log& log, OnEnd on_end);
+  Upstream(asio::io_context& io, const Config& config, Counters& counters, OnEnd on_end);
   ~Upstream();
 
   // Each call ends once, by `on_end`, and never before this returns.
@@ -37,14 +36,18 @@
   void cancel(const CancelCall& call);
   void hold_back(const HoldBack& call);
   void close_idle(HostId host);
+  // No call goes out any more on a connection that is open to the host.
+  void retire(HostId host);
 
   std::size_t calls() const { return calls_.size(); }
   std::size_t connections() const { return *connections_; }
+  std::size_t pools() const { return idle_.size(); }
 
  private:
   class Connection;
   using Pointer = std::shared_ptr<Connection>;
   void park(const Pointer& connection);
+  Pointer take_idle(HostId host);
   void forget_idle(const Connection& connection);
   bool make_room();
   void report(const CallEnded& end);
@@ -52,10 +55,9 @@
   asio::io_context& io_;
   const Config& config_;
   Counters& counters_;
-  Log& log_;
   OnEnd on_end_;
   std::unordered_map<StreamId, Pointer> calls_;  // out now
-  std::map<HostId, std::vector<Pointer>> idle_;  // the most recently used last
+  std::map<HostId, std::vector<Pointer>> idle_;  // the most recently used last; none is empty
   // Counted by the connections themselves, of which the loop may hold some for longer than the pool lives.
   std::shared_ptr<std::size_t> connections_ = std::make_shared<std::size_t>(0);
 };
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -967,4 +967,23 @@
   EXPECT_EQ(first, play());
 }
 
+// Guards the memory of a long life: endpoints that are gone and keys that are over are forgotten.
+TEST(LongLife, ForgetsWhatIsOver) {
+  Settings s = settings();
+  s.classes[0].sequential = true;
+  Bench b(s);
+  for (EndpointId id = 2; id < 4000; ++id) {
+    b.message(id, seconds(30), 0, id);
+    b.give(ListChanged{id % 2 == 0, false, {{id, 7, 0, 0, 50, Condition::ready}}});
+    if (id % 2 == 1) b.give(ListChanged{false, false, {{id - 1, 7, 0, 0, 50, Condition::gone}}});
+    b.advance(milliseconds(100));
+    const std::vector<std::pair<Send, Time>> out = std::exchange(b.sent, {});
+    for (const auto& [sent, at] : out) {
+      b.give(AttemptEnded{sent.id, 0, sent.endpoint, Outcome::delivered, true, Time(0), false, {}});
+    }
+    b.advance(milliseconds(100));
+    ASSERT_LE(b.forwarder.records(), 60u) << id;
+  }
+}
+
 }  // namespace
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -230,6 +230,21 @@
     for (std::size_t at = 0; (at = all.find(text, at)) != std::string::npos; at += text.size()) ++n;
     return n;
   }
+  // As it was last printed; asks for it to be printed again.
+  std::uint64_t counter(const std::string& name) const {
+    const std::size_t before = logged("counters clients");
+    signal(SIGUSR1);
+    happens([&] { return logged("counters clients") > before; });
+    const std::string all = log();
+    const std::size_t at = all.find(" " + name + "=", all.rfind("counters clients"));
+    return at == std::string::npos ? 0 : std::stoull(all.substr(at + name.size() + 2));
+  }
+  tcp::socket connected(asio::io_context& io) const {
+    tcp::socket socket(io);
+    asio::error_code error;
+    socket.connect({asio::ip::make_address("127.0.0.1"), port_}, error);
+    return socket;
+  }
   // The status of the answer to a text sent on a new connection; 0 if there is none.
   unsigned ask(const std::string& text, bool end_sending = false) const {
     asio::io_context io;
@@ -425,6 +440,116 @@
   EXPECT_EQ(relay.end(SIGTERM), 0);
 }
 
+// Guards the rule on duplicates: an answer that cannot be read to its end tells nothing but what its first
+// line does, so a message that must not be repeated is not sent again, whatever the head said.
+TEST(Relay, TakesASpoiltAnswerForWhatItsFirstLineSaysAtMost) {
+  const std::map<std::string, std::string> delivered = {
+      {"d1", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + std::string(200000, 'x')},
+      {"d2", "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n"},
+      {"d3", "HTTP/1.1 200 OK\r\nX: " + std::string(100000, 'x')},
+      {"d4", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc"},
+      {"d5",
+       "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + answer("200 OK")}};
+  const std::map<std::string, std::string> doubtful = {
+      {"u1", "HTTP/1.1 503 Full\r\nContent-Length: 5\r\n\r\nabc"},
+      {"u2", "HTTP/1.1 504 Spent\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"},
+      {"u3", "HTTP/1.1 410 Over\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"},
+      {"u4", "\x01\x02\x03\x04"},
+      {"u5", "HTTP/1.1 429 Wait\r\nX-Come-Back-Ms: 5\r\nno end"}};
+  Server host([&](const Request& r) {
+    const auto d = delivered.find(r.id), u = doubtful.find(r.id);
+    return d != delivered.end() ? d->second : u != doubtful.end() ? u->second : answer("200 OK");
+  });
+  Platform platform({{"s-1", host.address()}});
+  Program relay(platform.address());
+  relay.start();
+  for (const auto& [id, text] : delivered) {
+    EXPECT_EQ(relay.ask(request_text(id, "x", "pay")), 202u);
+    ASSERT_TRUE(happens([&] { return relay.counter("delivered") == relay.counter("taken"); }))
+        << id << relay.log();
+  }
+  for (const auto& [id, text] : doubtful) {
+    EXPECT_EQ(relay.ask(request_text("ok" + id, "x")), 202u);
+    ASSERT_TRUE(happens([&] { return host.count("ok" + id) == 1; }));
+    EXPECT_EQ(relay.ask(request_text(id, "x", "pay")), 202u);
+    ASSERT_TRUE(happens([&] {
+      return platform.noticed("{\"id\":\"" + id + "\",\"status\":\"undeliverable\"}");
+    })) << id
+        << relay.log();
+    EXPECT_EQ(host.count(id), 1u);
+  }
+  for (const auto& [id, text] : delivered) {
+    EXPECT_FALSE(platform.noticed("\"" + id + "\""));
+    EXPECT_EQ(host.count(id), 1u);
+  }
+}
+
+// Guards against bytes behind a good answer being taken for the answer to the next call: the answer counts,
+// and the connection is used no more.
+TEST(Relay, ClosesAConnectionOnWhichMoreCameThanAnAnswer) {
+  std::atomic<int> calls = 0;
+  Server host([&](const Request& r) {
+    ++calls;
+    return r.id.starts_with("twice") ? answer("200 OK") + answer("200 OK") : answer("500 Bad");
+  });
+  Platform platform({{"s-1", host.address()}});
+  Program relay(platform.address());
+  relay.start();
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(relay.ask(request_text("twice" + std::to_string(i))), 202u);
+    ASSERT_TRUE(happens([&] { return relay.counter("delivered") == static_cast<std::uint64_t>(i + 1); }))
+        << relay.log();
+  }
+  EXPECT_EQ(relay.ask(request_text("bad", "x", "pay")), 202u);
+  ASSERT_TRUE(happens([&] { return platform.noticed("\"bad\""); })) << relay.log();
+  EXPECT_EQ(relay.counter("delivered"), 5u);
+  EXPECT_EQ(relay.counter("reused"), 0u);
+}
+
+// Guards the places: one who connects and says nothing, or half of something, is sent away soon; an answered
+// one may stay.
+TEST(Relay, SendsAwayThoseWhoOnlyHoldAPlace) {
+  Server host([](const Request&) { return answer("200 OK"); });
+  Platform platform({{"s-1", host.address()}});
+  ConfigParts small;
+  small.sockets = 64;
+  Program relay(platform.address(), small);
+  relay.start();
+  const auto begin = std::chrono::steady_clock::now();
+  EXPECT_EQ(relay.ask(""), 0u);
+  EXPECT_EQ(relay.ask("POST /note HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf"), 408u);
+  EXPECT_GE(std::chrono::steady_clock::now() - begin, seconds(2));
+  // Many more than there are places for, of both kinds, and usual clients among them.
+  asio::io_context io;
+  std::vector<tcp::socket> silent;
+  for (int i = 0; i < 200; ++i) {
+    silent.push_back(relay.connected(io));
+    asio::error_code error;
+    if (i % 2 == 0) asio::write(silent.back(), asio::buffer(std::string("GET /up HTTP/1.1\r\n\r\n")), error);
+    if (i % 20 == 0) {
+      EXPECT_EQ(relay.ask(request_text("m" + std::to_string(i))), 202u);
+    }
+  }
+  EXPECT_TRUE(happens([&] { return relay.counter("delivered") == 10; })) << relay.log();
+  EXPECT_GT(relay.counter("made_way"), 0u);
+}
+
+// Guards against an error that its client cannot read: what still comes is read and dropped meanwhile.
+TEST(Relay, AnswersAHugeBodyBeforeItHasCome) {
+  Server host([](const Request&) { return answer("200 OK"); });
+  Platform platform({{"s-1", host.address()}});
+  Program relay(platform.address());
+  relay.start();
+  EXPECT_EQ(relay.ask(request_text("big", std::string(8 << 20, 'x'))), 413u);
+  EXPECT_EQ(
+      relay.ask("POST /note HTTP/1.1\r\nContent-Length: 60\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+                request_text("hidden")),
+      400u);
+  EXPECT_EQ(relay.ask(request_text("a1")), 202u);
+  EXPECT_TRUE(happens([&] { return host.count("a1") == 1; }));
+  EXPECT_EQ(host.count("hidden"), 0u);
+}
+
 TEST(CommandLine, RefusesABadConfigurationWithOneLineAndCodeTwo) {
   const std::string program = FENNELLANE_PROGRAM;
   FILE* pipe = ::popen((program + " serve --config /nonexistent --state /tmp 2>&1").c_str(), "r");
