Free slots sooner where overdue calls are never answered

Ruled out: CPU (0.06 s a second), resets and refusals (none), pace, window. At fault: free_slots() in the module, whose patience was fixed at 1, 3 or 9 stall times, on the ground that an overdue call is mostly answered late. Now the module counts how many overdue calls are ever answered and shortens the patience by that, to half a stall time at least; it looks again when the next call falls due instead of every quarter of a second.

--- a/src/delivery_policy.cpp
+++ b/src/delivery_policy.cpp
@@ -6,6 +6,7 @@
 // a refusal or time-out. All that goes beyond this is marked where it stands and listed in docs/design.md.
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <cmath>
 #include <deque>
 #include <limits>
@@ -33,10 +34,12 @@
 constexpr double kShareStep = 0.25;     // weight of the newest outcome in the share of failures
 constexpr double kDoubtHeld = 0.2;  // share of doubtful failures above which unsafe messages are held back
 constexpr int kShutRun = 5;         // refusals without a success between them that tell a shut destination
-constexpr double kLatencyStep = 0.125;     // weight of the newest answer in the mean time of an answer
-constexpr double kStallSpreads = 6;        // a call is late after mean + so many mean deviations
-constexpr double kTimeoutStalls = 3;       // a repeatable call is timed out after so many times that
-constexpr double kPaceCut = 0.75;          // part of the pace kept after a refusal above the limit
+constexpr double kLatencyStep = 0.125;  // weight of the newest answer in the mean time of an answer
+constexpr double kStallSpreads = 6;     // a call is late after mean + so many mean deviations
+constexpr double kTimeoutStalls = 3;    // a repeatable call is timed out after so many times that
+constexpr double kLostStep = 0.1;  // weight of the newest overdue call in the share of those never answered
+constexpr double kLostKept = 10;   // seconds in which that share halves
+constexpr double kPaceCut = 0.75;  // part of the pace kept after a refusal above the limit
 constexpr double kPaceGrowth = 0.02;       // pace regained by each delivery, as a share of the listed rate
 constexpr double kPaceGrowthOfAll = 0.08;  // and at most, by a delivery at each of the forwarders together
 constexpr double kBatchBurst = 2;          // longer bursts where a call may carry several messages
@@ -47,11 +50,9 @@
 constexpr double kCrowdRate = 0.5;  // many share a limit when their even part is under so many calls a second
 constexpr double kFullLoad = 0.8;   // all traffic is taken to be this share of all listed rates
 constexpr int kIdlePart = 4;        // connections are kept for this part of the idle time that failed
-constexpr Time kShortIdle =
-    milliseconds(25);  // idle times of kept connections are told apart from here on, by twos
-constexpr double kRiskStep =
-    0.02;                        // weight of the newest call in the share of calls lost with their connection
-constexpr double kRiskSeen = 3;  // so many lost calls tell a risk
+constexpr Time kShortIdle = milliseconds(25);  // idle times are told apart from here on, by twos
+constexpr double kRiskStep = 0.02;  // weight of the newest call in the share lost with their connection
+constexpr double kRiskSeen = 3;     // so many lost calls tell a risk
 constexpr double kRiskMore = 0.08;  // share of lost calls over that on new connections that is avoided
 constexpr int kTurnGrowth = 4;  // each refusal makes the spread of turns so many times wider, and keeps them
 constexpr std::size_t kLogLines = 60;  // log lines in one life at most
@@ -148,8 +149,7 @@
 
 // Calls that were lost because their connection broke, among those that went over connections of one kind.
 struct Risk {
-  double calls = 0;
-  double lost = 0;
+  double calls = 0, lost = 0;
   double share() const { return lost / std::max(1.0, calls); }
 };
 
@@ -285,11 +285,8 @@
   void on(const ProbeEnded& e) {
     Endpoint& endpoint = endpoints_.at(e.endpoint);
     endpoint.probe_out = false;
-    AttemptEnded as_attempt;
-    as_attempt.outcome = e.outcome;
-    as_attempt.told_wait = e.told_wait;
-    as_attempt.report = e.report;
-    learn(endpoint, as_attempt, now_);
+    learn(endpoint, {0, 0, e.endpoint, e.outcome, false, e.told_wait, false, e.report, false, Time(-1)},
+          now_);
   }
 
   void on(const ListChanged& e) {
@@ -306,7 +303,8 @@
       std::pair key(entry.destination, routes_apart(entry) ? std::optional(entry.endpoint) : std::nullopt);
       Endpoint& endpoint = endpoints_[entry.endpoint];
       if (endpoint.route == nullptr) endpoint.lot = random_();
-      if (endpoint.entry.destination != entry.destination) leave_destination(endpoint.entry);
+      if (endpoint.route != nullptr)
+        destinations_[endpoint.entry.destination].endpoints.erase(entry.endpoint);
       endpoint.entry = entry;
       if (entry.condition == Condition::gone) gone_.insert(entry.endpoint);
       endpoint.route = &routes_[key];
@@ -322,29 +320,19 @@
     list_failures_ = 0;
   }
 
-  void leave_destination(const EndpointEntry& entry) {
-    auto it = destinations_.find(entry.destination);
-    if (it != destinations_.end()) it->second.endpoints.erase(entry.endpoint);
-  }
-
-  // Guards the memory of a long life against every endpoint and key that ever was: an endpoint that is gone
-  // is forgotten with its last call, a key with its last message and its quiet time. What a destination's
-  // health is stays with its route.
+  // Guards the memory of a long life: an endpoint that is gone is forgotten with its last call, a key with
+  // its last message and its quiet time. A destination's health stays with its route.
   void forget() {
-    for (auto it = gone_.begin(); it != gone_.end();) {
-      auto found = endpoints_.find(*it);
-      const bool gone = found != endpoints_.end() && found->second.entry.condition == Condition::gone;
-      if (gone && (!found->second.out.empty() || found->second.probe_out)) {
-        ++it;
-        continue;
-      }
-      it = gone_.erase(it);
-      if (!gone) continue;
-      const EndpointEntry entry = found->second.entry;
-      leave_destination(entry);
-      endpoints_.erase(found);
+    std::erase_if(gone_, [this](EndpointId id) {
+      const Endpoint& e = endpoints_.at(id);
+      if (e.entry.condition != Condition::gone) return true;
+      if (!e.out.empty() || e.probe_out) return false;
+      const EndpointEntry entry = e.entry;
+      destinations_[entry.destination].endpoints.erase(id);
+      endpoints_.erase(id);
       if (routes_apart(entry)) routes_.erase({entry.destination, entry.endpoint});
-    }
+      return true;
+    });
     for (; !quiet_.empty() && quiet_.front().first <= now_; quiet_.pop_front()) {
       auto it = keys_.find(quiet_.front().second);
       if (it != keys_.end() && it->second.line.empty() && it->second.quiet_until <= now_) keys_.erase(it);
@@ -380,14 +368,11 @@
 
   void take_in(Endpoint& endpoint, const AttemptEnded& e, Time sent_at) {
     Route& route = *endpoint.route;
-    const Outcome outcome = e.outcome;
-    const Time told_wait = e.told_wait;
-    const LoadReport& report = e.report;
     // Where the list is silent, the limit that answers report stands for it; it is a little noisy.
-    if (report.present && report.limit > 0 && !route.listed) {
-      route.rate += (route.rate > 0 ? kLatencyStep : 1) * (report.limit - route.rate);
+    if (e.report.present && e.report.limit > 0 && !route.listed) {
+      route.rate += (route.rate > 0 ? kLatencyStep : 1) * (e.report.limit - route.rate);
     }
-    switch (outcome) {
+    switch (e.outcome) {
       case Outcome::delivered:
         note_success(endpoint.health);
         note_success(route.health);
@@ -397,9 +382,9 @@
         break;
       case Outcome::full:
         // Waits only grow: a later answer never shortens one.
-        if (told_wait > Time(0)) route.wait_until = std::max(route.wait_until, now_ + told_wait);
-        note_refusal(endpoint.health, told_wait, route.rate);
-        note_refusal(route.health, told_wait, route.rate);
+        if (e.told_wait > Time(0)) route.wait_until = std::max(route.wait_until, now_ + e.told_wait);
+        note_refusal(endpoint.health, e.told_wait, route.rate);
+        note_refusal(route.health, e.told_wait, route.rate);
         cut(route, sent_at);
         slow_down(route, sent_at);
         take_turns(route);
@@ -407,37 +392,31 @@
       case Outcome::timeout:
       case Outcome::error:
       case Outcome::reset:
-      case Outcome::connect_failed:
+      case Outcome::connect_failed: {
         // A time-out beside calls that were answered meanwhile is a slow message, no sign of an outage.
-        if (outcome == Outcome::timeout && endpoint.health.last_ok > sent_at) break;
-        // Guards against connections that break being taken for a destination that is down: one that was kept
-        // tells nothing, since the next call opens a new one; a new one that came up is no refused
-        // connection.
+        if (e.outcome == Outcome::timeout && endpoint.health.last_ok > sent_at) break;
+        // Guards against connections that break being taken for an outage: a kept one tells nothing, since
+        // the next call opens a new one; a new one that came up is no refused one.
         if (e.connection_only && e.idle > Time(0)) break;
-        note_failure(endpoint.health, e.connection_only ? Outcome::error : outcome, route.rate);
-        note_failure(route.health, e.connection_only ? Outcome::error : outcome, route.rate);
-        if (outcome != Outcome::error && !e.connection_only) cut(route, sent_at);
+        const Outcome sign = e.connection_only ? Outcome::error : e.outcome;
+        for (Health* h : {&endpoint.health, &route.health}) note_failure(*h, sign, route.rate);
+        if (sign != Outcome::error) cut(route, sent_at);
         break;
+      }
       default:
         break;
     }
   }
 
-  // Guards against endpoints, or what lies before them, that drop kept connections unseen after a short idle
-  // time: from where calls are lost on them more often than on new ones, new ones are opened, for a while.
-  static std::size_t idle_class(Time idle) {
-    std::size_t n = 0;
-    for (Time most = kShortIdle; n + 1 < kIdleClasses && idle >= most; most *= 2) ++n;
-    return n;
-  }
+  // Guards against kept connections that are dropped unseen after a short idle time: from where calls are
+  // lost on them clearly more often than on new ones, new ones are opened, for a while.
   void learn_risk(const AttemptEnded& e) {
-    const bool answered =
-        e.outcome == Outcome::delivered || e.outcome == Outcome::full || e.outcome == Outcome::error;
-    if (e.idle < Time(0) || !(answered || e.connection_only)) return;
-    Risk& risk = e.idle == Time(0) ? new_risk_ : kept_risk_[idle_class(e.idle)];
+    if (e.idle < Time(0) || !(answered(e.outcome) || e.connection_only)) return;
+    const std::size_t twos = std::bit_width(static_cast<std::uint64_t>(e.idle / kShortIdle));
+    Risk& risk = e.idle == Time(0) ? new_risk_ : kept_risk_[std::min(twos, kept_risk_.size() - 1)];
     risk.calls += 1 - kRiskStep * risk.calls;
     risk.lost += (e.connection_only ? 1 : 0) - kRiskStep * risk.lost;
-    if (e.connection_only && e.idle > Time(0)) risk_seen_ = now_;
+    if (e.connection_only) risk_seen_ = now_;
   }
   Time most_idle() {
     if (risk_seen_ + s_.connection_idle * kIdlePart < now_) kept_risk_ = {};  // looked at anew after a while
@@ -510,19 +489,16 @@
     // One reset alone may be an answer lost on its way while the work is done; a crash resets many.
     const bool alone = rare(h, rate) && outcome != Outcome::reset;
     const bool outage = h.fail_run >= kSickRun || h.fail_share >= kSickFailShare || alone;
-    if (outage || !doubtful) fall_sick(h, rate);
+    if (!h.sick && (outage || !doubtful)) {
+      h.sick = true;
+      h.failing_since = now_;
+      draw_trial(h, rate);
+    }
     if (!h.sick) return;
     if (outage) h.ok_since.reset();
     h.rest_until = now_ + base_multiplier() * std::min(h.fail_run, kRestsMost);
   }
 
-  void fall_sick(Health& h, double rate) {
-    if (h.sick) return;
-    h.sick = true;
-    h.failing_since = now_;
-    draw_trial(h, rate);
-  }
-
   // A run of refusals without success, or a wait longer than any limit's span, tells a shut destination.
   void note_refusal(Health& h, Time told_wait, double rate) {
     h.earned = 0;
@@ -558,6 +534,7 @@
   void close_call(std::size_t id, Outcome outcome, bool connection_only) {
     Call call = calls_.at(id);
     Endpoint& endpoint = endpoints_.at(call.endpoint);
+    note_overdue(call, *endpoint.route, outcome);
     endpoint.out.erase(endpoint.out.find(call.sent_at));
     --endpoint.route->in_flight;
     if (outcome == Outcome::delivered) {
@@ -569,7 +546,7 @@
       const double log_took = std::log(std::max(1e-3, took));  // the slow ones weigh little in its mean
       usual_answer_ += (usual_answer_ < kNoAnswer ? kLatencyStep : 1) * (log_took - usual_answer_);
     }
-    if (outcome == Outcome::delivered || outcome == Outcome::full || outcome == Outcome::error) {
+    if (answered(outcome)) {
       endpoint.last_used = now_;
     } else if (endpoint.connections > 0) {
       --endpoint.connections;
@@ -579,6 +556,24 @@
     calls_.erase(id);
   }
 
+  static bool answered(Outcome o) {
+    return o == Outcome::delivered || o == Outcome::full || o == Outcome::error;
+  }
+  // The share of overdue calls that are never answered; one called off too early for that tells nothing.
+  void note_overdue(const Call& call, const Route& r, Outcome outcome) {
+    const Time took = now_ - call.sent_at, stall = stall_time(r);
+    if (took < (answered(outcome) ? stall / 2 : stall)) return;
+    lost_share_ = lost_share() + kLostStep * ((answered(outcome) ? 0 : 1) - lost_share());
+    lost_at_ = now_;
+  }
+  double lost_share() const { return lost_share_ * std::exp2(-seconds(now_ - lost_at_) / kLostKept); }
+  // How long a call may hold a slot that others want: the less overdue calls are answered, the shorter.
+  Time slot_patience(const Call& call, const Endpoint& e) const {
+    const double stalls =
+        (call.unsafe ? kTimeoutStalls : 1) * (stalled(e) || failing(e.health) ? 1 : kTimeoutStalls);
+    return from_seconds(seconds(stall_time(*e.route)) * stalls * std::pow(2 * stalls, -lost_share()));
+  }
+
   Time multiplier(const ClassSettings& c) const {
     return std::max(s_.resolution,
                     std::min(kMultiplierMost, from_seconds(seconds(c.aim) * kMultiplierOfAim)));
@@ -944,8 +939,8 @@
     }
   }
 
-  // Guards against calls without an answer holding every slot while messages wait:
-  // silence, stalls, slow tails. The most overdue call is called off; its answer may have been about to come.
+  // Guards against calls without an answer holding every slot while messages wait: silence, stalls, slow
+  // tails. The most overdue call is called off; its answer may have been about to come.
   void free_slots() {
     if (!s_.can_cancel || calls_.size() < s_.slots) return;
     bool wanted = false;
@@ -955,17 +950,18 @@
     if (!wanted) return;
     std::size_t most = 0;
     double most_overdue = 1;
+    Time next = now_ + base_multiplier() / 2;  // a call may count as stalled by then
     for (const auto& [id, call] : calls_) {
       if (call.cancelled) return;  // one at a time: its slot is about to come free
       const Endpoint& e = endpoints_.at(call.endpoint);
-      double overdue = seconds(now_ - call.sent_at) / seconds(stall_time(*e.route));
-      if (call.unsafe) overdue /= kTimeoutStalls;
-      if (!stalled(e) && !failing(e.health)) overdue /= kTimeoutStalls;
+      const Time patience = slot_patience(call, e);
+      const double overdue = seconds(now_ - call.sent_at) / seconds(patience);
+      next = std::min(next, call.sent_at + patience + Time(1));
       if (overdue <= most_overdue) continue;
       most = id;
       most_overdue = overdue;
     }
-    if (most == 0) return wake_at(now_ + base_multiplier() / 2);
+    if (most == 0) return wake_at(std::max(next, now_ + s_.resolution));
     calls_.at(most).cancelled = true;
     for (const auto& [id, m] : messages_) {
       if (m.call == most) act(Cancel{id, m.attempts - 1});
@@ -1052,14 +1048,15 @@
   std::size_t last_call_ = 0;
   Time safe_idle_ = kNever;  // connections idle for longer are not used
   Time idle_failed_ = kLongAgo;
-  static constexpr std::size_t kIdleClasses = 11;
-  std::array<Risk, kIdleClasses> kept_risk_;  // by how long the connection had stood idle
+  std::array<Risk, 11> kept_risk_;  // by how long the connection had stood idle
   Risk new_risk_;
   Time risk_seen_ = kLongAgo;
   std::map<std::uint32_t, Time> scarce_until_;  // by kind: connections are not kept idle
-  double usual_answer_ = kNoAnswer;             // mean of the logarithm of answer times, in seconds
-  double arrivals_ = 0;                         // messages in this life
-  double listed_rate_ = 0;                      // of all routes
+  double lost_share_ = 0;                       // of overdue calls, as it was at that time
+  Time lost_at_{};
+  double usual_answer_ = kNoAnswer;  // mean of the logarithm of answer times, in seconds
+  double arrivals_ = 0;              // messages in this life
+  double listed_rate_ = 0;           // of all routes
   std::size_t log_lines_ = 0;
   int list_failures_ = 0;
   Time next_ask_ = kNever;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 #include <string>
 
 #include "starlinghook/delivery.hpp"
@@ -968,6 +969,103 @@
   EXPECT_EQ(first, play());
 }
 
+// --- What the caller's connections showed
+void lose(Bench& b, MessageId id, Outcome o, Time idle) {
+  b.give(AttemptEnded{id, 0, 1, o, true, Time(0), false, {}, true, idle});
+}
+
+TEST(BrokenConnections, KeptOnesAreNoOutageAndOneNewOneIsNone) {
+  for (const Outcome o : {Outcome::reset, Outcome::connect_failed}) {
+    Bench b(settings());
+    warm_up(b, 1, 8);
+    for (MessageId id = 100; id < 112; ++id) {
+      b.message(id);
+      ASSERT_EQ(b.sends_of(id), 1u);  // at once: no rest, no window cut to nothing
+      lose(b, id, o, milliseconds(20));
+    }
+    b.advance(seconds(30));
+    EXPECT_TRUE(b.logged.empty());
+    b.message(200);
+    lose(b, 200, o, Time(0));
+    b.message(201);
+    EXPECT_EQ(b.sends_of(201), 1u);
+  }
+  // New ones that break one after the other are an outage all the same.
+  Bench b(settings());
+  warm_up(b, 1, 8);
+  for (MessageId id = 100; id < 110; ++id) {
+    b.message(id);
+    if (b.sends_of(id) == 1) lose(b, id, Outcome::reset, Time(0));
+  }
+  EXPECT_FALSE(b.logged.empty());
+}
+
+TEST(BrokenConnections, ThoseIdleForLongAreNotUsedWhereTheyLoseCalls) {
+  Bench b(settings());
+  MessageId id = 1;
+  const auto call = [&](Time idle, bool lost) {
+    b.message(++id);
+    b.advance(milliseconds(10));
+    if (lost) {
+      lose(b, id, Outcome::reset, idle);
+    } else {
+      b.give(AttemptEnded{id, 0, 1, Outcome::delivered, true, Time(0), false, {}, false, idle});
+    }
+    b.advance(seconds(3));
+  };
+  for (int i = 0; i < 20; ++i) call(milliseconds(i % 2 == 0 ? 10 : 60000), false);
+  EXPECT_EQ(b.sent.back().first.most_idle, Time::max());
+  for (int i = 0; i < 20; ++i) call(milliseconds(i % 2 == 0 ? 10 : 450), i % 4 == 1);
+  b.message(++id);
+  EXPECT_LE(b.sent.back().first.most_idle, milliseconds(450));
+  EXPECT_GT(b.sent.back().first.most_idle, milliseconds(100));
+  b.advance(seconds(60));  // and again after a while
+  b.message(++id);
+  EXPECT_EQ(b.sent.back().first.most_idle, Time::max());
+}
+
+// Guards against calls that are never answered, at endpoints that answer others, holding every slot for
+// seconds each: once that is seen, a call holds a slot that others want hardly longer than answers take.
+TEST(Slots, AreFreedSoonWhereOverdueCallsAreNeverAnswered) {
+  Settings s = settings(Effect::unsafe);
+  s.slots = 4;
+  Bench b(s, {{1, 7, 0, 0, 50, Condition::ready}, {2, 8, 0, 0, 50, Condition::ready}});
+  warm_up(b, 1, 6, 7);
+  warm_up(b, 11, 6, 8);
+  MessageId id = 100;
+  const auto send = [&](DestinationId destination) {
+    b.message(++id, seconds(30), 0, 0, destination);
+    return id;
+  };
+  const auto answer = [&](MessageId message) {
+    b.advance(milliseconds(30));
+    ASSERT_EQ(b.sends_of(message), 1u);
+    b.outcome(message, Outcome::delivered);
+  };
+  std::vector<Time> held;
+  for (int round = 0; round < 15; ++round) {
+    // Calls that are never answered hold all slots: one destination answers beside them, the other has
+    // stalled.
+    std::set<MessageId> lost = {send(7), send(7)};
+    answer(send(7));
+    lost.insert(send(8));
+    lost.insert(send(8));
+    const MessageId waiting = send(7);
+    const Time begun = b.now;
+    b.cancelled.clear();
+    for (int step = 0; step < 200 && b.cancelled.empty(); ++step) b.advance(milliseconds(20));
+    ASSERT_FALSE(b.cancelled.empty());
+    held.push_back(b.now - begun);
+    b.outcome(b.cancelled.front(), Outcome::cancelled);
+    lost.erase(b.cancelled.front());
+    answer(waiting);
+    for (MessageId m : lost) b.outcome(m, Outcome::cancelled, Time(0), true);
+    b.advance(seconds(1));
+  }
+  EXPECT_GT(held.front(), milliseconds(2500));
+  EXPECT_LT(held.back(), milliseconds(1200));
+}
+
 // Guards the memory of a long life: endpoints that are gone and keys that are over are forgotten.
 TEST(LongLife, ForgetsWhatIsOver) {
   Settings s = settings();
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -36,6 +36,8 @@
   return true;
 }
 
+const std::string kReset = "reset";  // as an answer: the connection is reset
+
 struct Request {
   std::string target, id, body;
 };
@@ -103,6 +105,11 @@
           requests_.push_back(request);
         }
         const std::string answer = handler_(request);
+        if (answer == kReset) {
+          socket.set_option(asio::socket_base::linger(true, 0), error);
+          socket.close(error);
+          return;
+        }
         asio::write(socket, asio::buffer(answer), error);
         if (error) return;
       }
@@ -550,6 +557,23 @@
   EXPECT_EQ(host.count("hidden"), 0u);
 }
 
+// Guards a healthy host against being rested for connections that break under the next request, as those that
+// it has dropped unseen do: the call goes out on a new one.
+TEST(Relay, TakesAKeptConnectionThatBreaksForNoOutage) {
+  std::atomic<int> calls = 0;
+  Server host([&](const Request&) { return ++calls % 2 == 0 ? kReset : answer("200 OK"); });
+  Platform platform({{"s-1", host.address()}});
+  Program relay(platform.address());
+  relay.start();
+  for (int i = 0; i < 12; ++i) {
+    EXPECT_EQ(relay.ask(request_text("m" + std::to_string(i))), 202u);
+    ASSERT_TRUE(happens([&] { return relay.counter("delivered") == static_cast<std::uint64_t>(i + 1); }))
+        << relay.log();
+  }
+  EXPECT_GE(relay.counter("answer.reset"), 8u);
+  EXPECT_EQ(relay.logged("failing"), 0u) << relay.log();
+}
+
 TEST(CommandLine, RefusesABadConfigurationWithOneLineAndCodeTwo) {
   const std::string program = FENNELLANE_PROGRAM;
   FILE* pipe = ::popen((program + " serve --config /nonexistent --state /tmp 2>&1").c_str(), "r");
