--- a/src/delivery_policy.cpp
+++ b/src/delivery_policy.cpp
@@ -159,8 +159,8 @@
 };
 
 struct Destination {
-  std::vector<MessageId> waiting;
-  Time look_at = kLongAgo;  // when one that waits may have to be given up, or sooner
+  std::vector<Message*> waiting;  // they stay where they are
+  Time look_at = kLongAgo;        // when one that waits may have to be given up, or sooner
   std::set<EndpointId> endpoints;
 };
 
@@ -217,22 +217,21 @@
       if (route != counted) ++route->arrivals;
       counted = route;
     }
-    messages_[e.id] = m;
-    wait(m);
+    wait(messages_[e.id] = m);
   }
 
   bool routes_apart(const EndpointEntry& entry) const {
     return entry.kind < s_.kinds.size() && s_.kinds[entry.kind].routes_apart;
   }
-  void wait(const Message& m) {
+  void wait(Message& m) {
     Destination& d = destinations_[m.facts.destination];
-    d.waiting.push_back(m.facts.id);
+    d.waiting.push_back(&m);
     d.look_at = std::min(d.look_at, give_up_at(d, m));
     busy_.insert(m.facts.destination);
   }
   void stop_waiting(const Message& m) {
-    std::vector<MessageId>& waiting = destinations_[m.facts.destination].waiting;
-    std::erase(waiting, m.facts.id);
+    std::vector<Message*>& waiting = destinations_[m.facts.destination].waiting;
+    std::erase(waiting, &m);
     if (waiting.empty()) busy_.erase(m.facts.destination);
   }
 
@@ -285,7 +284,7 @@
     wait(m);
   }
 
-  void on(const ProbeEnded&) {}  // none is sent: relays may not probe
+  void on(const ProbeEnded& e) { endpoints_.at(e.endpoint); }  // none is sent: relays may not probe
 
   void on(const ListChanged& e) {
     if (e.whole) {
@@ -839,8 +838,8 @@
     if (open.empty()) return best;
     const double drain = std::max(slots_drain, static_cast<double>(d.waiting.size()) / std::max(0.1, rate));
     std::pair<double, Time> best_order;
-    for (MessageId id : d.waiting) {
-      Message& m = messages_.at(id);
+    for (Message* waiting : d.waiting) {
+      Message& m = *waiting;
       if (m.not_before > now_) {
         wake_at(m.not_before);
         continue;
@@ -903,14 +902,14 @@
   void give_up(Destination& d) {
     if (now_ < d.look_at) return wake_at(d.look_at);
     d.look_at = now_ + kLookAgain;
-    std::vector<MessageId> lost;
-    for (MessageId id : d.waiting) {
-      const Time at = give_up_at(d, messages_.at(id));
-      if (at <= now_) lost.push_back(id);
+    std::vector<Message*> lost;
+    for (Message* m : d.waiting) {
+      const Time at = give_up_at(d, *m);
+      if (at <= now_) lost.push_back(m);
       if (at > now_) d.look_at = std::min(d.look_at, at);
     }
     wake_at(d.look_at);
-    for (MessageId id : lost) answer(messages_.at(id), d);
+    for (Message* m : lost) answer(*m, d);
   }
 
   // Guards against held messages of slow or failing destinations filling the room unseen. Near the limit the
@@ -922,11 +921,10 @@
       Message* least = nullptr;
       double least_promise = 0;
       for (DestinationId id : busy_) {
-        for (MessageId waiting : destinations_.at(id).waiting) {
-          Message& m = messages_.at(waiting);
-          const double p = promise(m);
+        for (Message* m : destinations_.at(id).waiting) {
+          const double p = promise(*m);
           if (least && p >= least_promise) continue;
-          least = &m;
+          least = m;
           least_promise = p;
         }
       }
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -235,8 +235,8 @@
   std::string tail = kSettings;
   wire::Instances instances;
   instances.play(frame(1000, {start_record(0, 0, tail.size())}, tail));
-  std::string order = record(number(21, 1) + number(0, 2) + number(5, 8) + number(200, 1));
-  std::string reply = instances.play(frame(2000, {order}));  // of a class that is not in the settings
+  std::string probe = record(number(16, 1) + number(0, 2) + number(77, 4) + number(1, 2));
+  std::string reply = instances.play(frame(2000, {probe}));  // of an endpoint that was in no list
   EXPECT_EQ(static_cast<unsigned char>(reply.at(8)), 25u);
 }
 
