--- a/src/net/downstream.cpp
+++ b/src/net/downstream.cpp
@@ -1,5 +1,7 @@
 #include "downstream.hpp"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <asio/buffer.hpp>
 #include <span>
@@ -91,18 +93,23 @@
   // Between requests, as far as has been read.
   bool quiet() const { return !closing_ && !request_.started() && in_.empty() && out_.empty(); }
   // And none has come that has not been read yet.
-  bool idle() const {
+  bool idle() const { return quiet() && !unread(); }
+  bool unread() const {
     asio::error_code ignored;
-    return quiet() && socket_.available(ignored) == 0;
+    return socket_.available(ignored) > 0;
   }
-  // How readily the connection makes way for another; among equals, that which has waited for longest. Only
-  // what has no request open makes way: a silent newcomer soon, one that was of use after a while.
+  // How readily the connection makes way for another; among equals, that which has waited for longest. A
+  // usual client sends its request at once and whole: who has said nothing or half of something for a while
+  // holds only a place. One that was of use makes way after a longer while, and one that has just come only
+  // where nothing else is left.
   enum class Claim { spent, silent, unused, newcomer, busy };
   Claim claim(std::chrono::steady_clock::time_point now) const {
     if (lingering_) return Claim::spent;
-    if (!quiet() || busy_) return Claim::busy;
-    if (served_) return now - since_ >= limits_.spare_idle ? Claim::unused : Claim::busy;
-    return now - since_ >= limits_.silent_first ? Claim::silent : Claim::newcomer;
+    if (closing_ || !out_.empty() || busy_) return Claim::busy;
+    const auto age = now - since_;
+    if (served_ && quiet()) return age >= limits_.spare_idle ? Claim::unused : Claim::busy;
+    if (age >= limits_.silent_first) return Claim::silent;
+    return !served_ && age >= limits_.newcomer ? Claim::newcomer : Claim::busy;
   }
   std::chrono::steady_clock::time_point since() const { return since_; }
   void touch() { busy_ = true; }  // bytes have come that will be read soon
@@ -137,6 +144,12 @@
     });
   }
 
+  // Closes at once, so that the place is free; half a request hears why, if the answer leaves in one piece.
+  void make_way() {
+    if (request_.started() && !lingering_) answer(408);
+    drop();
+  }
+
   void drop() {
     asio::error_code ignored;
     timer_.cancel();
@@ -190,7 +203,10 @@
       const bool fresh = !request_.started();
       const bool head = request_.head_done();
       in_.consume(request_.feed(in_.data()));
-      if (served_ && fresh && request_.started() && !request_.done()) arm(limits_.request);
+      if (served_ && fresh && request_.started() && !request_.done()) {
+        since_ = std::chrono::steady_clock::now();
+        arm(limits_.request);
+      }
       if (request_.failed()) {
         answer(request_.refusal());
         in_.clear();  // nothing behind it is read as a request
@@ -219,11 +235,22 @@
     if (const unsigned* refused = std::get_if<unsigned>(&offer)) {
       return answer(*refused, *refused == 405 ? "Allow: POST\r\n" : "");
     }
+    // Guards against taking on what its client has given up while it waited to be read: it comes again under
+    // another id.
+    if (left()) {
+      ++owner_.counters_.refused;
+      return answer(503);
+    }
     auto& message = std::get<Offered>(offer);
     message.reply = number_;
     owner_.on_offer_(std::move(message));
   }
 
+  bool left() {
+    char byte = 0;
+    return ended_ || (in_.empty() && ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0);
+  }
+
   void flush_then_read() {
     if (writing_ || !socket_.is_open()) return;
     if (broken_) return drop();
@@ -340,12 +367,12 @@
     }
     if (!least) return false;
     // Guards against closing on a request that has come and has not been read: it is read in its turn.
-    if (key.first != Session::Claim::spent && !least->idle()) {
+    if (key.first != Session::Claim::spent && least->unread()) {
       least->touch();
       continue;
     }
     ++counters_.made_way;
-    least->drop();
+    least->make_way();
     return true;
   }
 }
--- a/src/net/limits.hpp
+++ b/src/net/limits.hpp
@@ -36,8 +36,10 @@
   Time request = std::chrono::milliseconds(2500);
   Time downstream_idle = std::chrono::minutes(2);
   Time spare_idle = std::chrono::seconds(2);  // where places are short, the longest idle make way after this
-  Time silent_first = std::chrono::milliseconds(500);  // and those that have said nothing yet after this
-  Time linger = std::chrono::seconds(2);               // of a closing connection, so that its answer is read
+  Time silent_first =
+      std::chrono::milliseconds(250);             // those that have said nothing yet, or half of something
+  Time newcomer = std::chrono::milliseconds(50);  // and where nothing else is left, a new one after this
+  Time linger = std::chrono::seconds(2);          // of a closing connection, so that its answer is read
   Time connect{};
   Time upstream_idle{};
   Time answer_rest = std::chrono::seconds(1);    // from a host's answer's first byte to its last
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -541,6 +541,50 @@
   EXPECT_GT(relay.counter("made_way"), 0u);
 }
 
+// Guards usual clients against a flood of those who send half a request and stop: these held all places for
+// as long as a request may take, and each of the others waited unread until its client had left.
+TEST(Relay, HalfRequestsMakeWayForWholeOnes) {
+  Server host([](const Request&) { return answer("200 OK"); });
+  Platform platform({{"s-1", host.address()}});
+  ConfigParts small;
+  small.sockets = 64;
+  Program relay(platform.address(), small);
+  relay.start();
+  asio::io_context io;
+  std::vector<tcp::socket> half;
+  std::size_t in_time = 0;
+  for (int i = 0; i < 300; ++i) {
+    half.push_back(relay.connected(io));
+    asio::error_code error;
+    asio::write(half.back(), asio::buffer(std::string("POST /note HTTP/1.1\r\nX-Call")), error);
+    if (i % 30 != 29) continue;
+    const auto begin = std::chrono::steady_clock::now();
+    EXPECT_EQ(relay.ask(request_text("m" + std::to_string(i))), 202u);
+    in_time += std::chrono::steady_clock::now() - begin < seconds(2) ? 1 : 0;
+  }
+  EXPECT_EQ(in_time, 10u);  // each place was held for 2.5 s
+  EXPECT_TRUE(happens([&] { return relay.counter("delivered") == 10; })) << relay.log();
+}
+
+// Guards against holding and sending what its client has given up while it waited to be read.
+TEST(Relay, DoesNotTakeOnWhatItsClientHasLeft) {
+  Server host([](const Request&) { return answer("200 OK"); });
+  Platform platform({{"s-1", host.address()}});
+  Program relay(platform.address());
+  relay.start();
+  relay.signal(SIGSTOP);
+  {
+    asio::io_context io;
+    tcp::socket gone = relay.connected(io);
+    asio::write(gone, asio::buffer(request_text("left")));
+  }
+  relay.signal(SIGCONT);
+  EXPECT_TRUE(happens([&] { return relay.counter("refused") == 1; })) << relay.log();
+  EXPECT_EQ(relay.ask(request_text("stays")), 202u);
+  EXPECT_TRUE(happens([&] { return host.count("stays") == 1; }));
+  EXPECT_EQ(host.count("left"), 0u);
+}
+
 // Guards against an error that its client cannot read: what still comes is read and dropped meanwhile.
 TEST(Relay, AnswersAHugeBodyBeforeItHasCome) {
   Server host([](const Request&) { return answer("200 OK"); });
