Where places are short, close those that ask once and stay before 2 s are over

Ruled out: slots (none in use), CPU (0.06 s a second), hosts, half requests. At fault: claim() in downstream.cpp, to which every connection idle for less than 2 s was busy. Now those idle for 0.25 s make way, longest first, where nothing of less use is left.

--- a/src/net/downstream.cpp
+++ b/src/net/downstream.cpp
@@ -100,14 +100,18 @@
   }
   // How readily the connection makes way for another; among equals, that which has waited for longest. A
   // usual client sends its request at once and whole: who has said nothing or half of something for a while
-  // holds only a place. One that was of use makes way after a longer while, and one that has just come only
-  // where nothing else is left.
-  enum class Claim { spent, silent, unused, newcomer, busy };
+  // holds only a place. One that was of use and stays makes way after a longer while, or where all others are
+  // of more use.
+  enum class Claim { spent, silent, unused, resting, newcomer, busy };
   Claim claim(std::chrono::steady_clock::time_point now) const {
     if (lingering_) return Claim::spent;
     if (closing_ || !out_.empty() || busy_) return Claim::busy;
     const auto age = now - since_;
-    if (served_ && quiet()) return age >= limits_.spare_idle ? Claim::unused : Claim::busy;
+    if (served_ && quiet()) {
+      return age >= limits_.spare_idle     ? Claim::unused
+             : age >= limits_.silent_first ? Claim::resting
+                                           : Claim::busy;
+    }
     if (age >= limits_.silent_first) return Claim::silent;
     return !served_ && age >= limits_.newcomer ? Claim::newcomer : Claim::busy;
   }
