Lay the relay out in packages by concern, each a folder and a target

The domain's types stand in core/cluster.hpp and core/stream.hpp. A package sees only the headers of those it names.

--- /dev/null
+++ b/src/core/cluster.hpp
@@ -0,0 +1,35 @@
+// The cluster: the upstream hosts that a membership source names, in terms of no protocol.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "starlinghook/delivery.hpp"
+
+namespace fennellane {
+
+struct Address {
+  std::string host;  // numeric
+  std::uint16_t port = 0;
+  std::string text() const { return host + ":" + std::to_string(port); }
+};
+
+// One host as its source tells it.
+struct HostEntry {
+  std::string id;
+  Address address;
+  std::uint32_t zone = 0;  // positions in the settings' lists; past their end if unknown
+  std::uint32_t kind = 0;
+  std::uint32_t destination = 0;
+  double rate = 0;
+  starlinghook::Condition condition = starlinghook::Condition::ready;
+};
+
+struct HostList {
+  std::uint64_t version = 0;
+  bool whole = false;
+  std::vector<HostEntry> hosts;
+};
+
+}  // namespace fennellane
--- /dev/null
+++ b/src/core/number.cpp
@@ -0,0 +1,15 @@
+#include "number.hpp"
+
+#include <charconv>
+
+namespace fennellane {
+
+std::optional<std::uint64_t> whole_number(std::string_view text, std::uint64_t most) {
+  std::uint64_t value = 0;
+  const char* const end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, value);
+  if (text.empty() || error != std::errc() || stop != end || value > most) return std::nullopt;
+  return value;
+}
+
+}  // namespace fennellane
--- a/src/net/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -13,10 +13,10 @@
 #include <variant>
 #include <vector>
 
-#include "config.hpp"
+#include "cluster.hpp"
 #include "counters.hpp"
-#include "journal.hpp"
 #include "limits.hpp"
+#include "stream.hpp"
 
 namespace fennellane {
 
--- /dev/null
+++ b/src/core/stream.hpp
@@ -0,0 +1,37 @@
+// A message from taking it on to its end, as it has to be known after a crash.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "limits.hpp"
+
+namespace fennellane {
+
+using StreamId = std::uint64_t;
+using WallTime = std::chrono::microseconds;  // since 1970
+using Body = std::shared_ptr<const std::string>;
+
+enum class Verdict : std::uint8_t { undeliverable = 1, deferred = 2 };
+
+struct JournalEntry {
+  std::string id;
+  std::uint32_t message_class = 0;
+  std::uint32_t tenant = 0;
+  std::uint32_t destination = 0;
+  WallTime deadline{};
+  std::uint32_t attempts = 0;
+  bool out = false;  // the newest attempt has no outcome yet
+  WallTime out_since{};
+  std::uint32_t out_zone = 0;
+  bool may_have_run = false;
+  WallTime doubt_since{};  // start of the first attempt that may have run
+  std::uint32_t doubt_zone = 0;
+  std::optional<Verdict> verdict;  // given up; its notice has not been taken yet
+  Time again{};
+  Body body = std::make_shared<const std::string>();
+};
+
+}  // namespace fennellane
--- a/src/net/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -7,6 +7,7 @@
 #include <span>
 #include <utility>
 
+#include "number.hpp"
 #include "ring_buffer.hpp"
 
 namespace fennellane {
--- a/src/net/http.cpp
+++ b/src/http/http.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <cctype>
-#include <charconv>
+
+#include "number.hpp"
 
 namespace fennellane {
 namespace {
@@ -183,14 +184,6 @@
   return found;
 }
 
-std::optional<std::uint64_t> whole_number(std::string_view text, std::uint64_t most) {
-  std::uint64_t value = 0;
-  const char* const end = text.data() + text.size();
-  const auto [stop, error] = std::from_chars(text.data(), end, value);
-  if (text.empty() || error != std::errc() || stop != end || value > most) return std::nullopt;
-  return value;
-}
-
 std::string answer_text(unsigned status, bool close, std::string_view more_headers) {
   std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
   text += http_status_str(static_cast<http_status>(status));
--- a/src/net/http.hpp
+++ b/src/http/http.hpp
@@ -66,8 +66,6 @@
   unsigned refusal_ = 0;
 };
 
-// Digits only, and no more than `most`.
-std::optional<std::uint64_t> whole_number(std::string_view text, std::uint64_t most);
 std::string answer_text(unsigned status, bool close, std::string_view more_headers = {});
 
 }  // namespace fennellane
--- a/src/net/upstream.hpp
+++ b/src/http/upstream.hpp
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "config.hpp"
 #include "counters.hpp"
 #include "http.hpp"
 #include "reducer.hpp"
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,8 +4,8 @@
 #include <exception>
 #include <string>
 
-#include "net/config.hpp"
-#include "net/relay.hpp"
+#include "config.hpp"
+#include "relay.hpp"
 
 namespace {
 
--- a/src/net/config.cpp
+++ b/src/settings/config.cpp
@@ -10,7 +10,7 @@
 #include <memory>
 #include <sstream>
 
-#include "http.hpp"
+#include "number.hpp"
 
 namespace fennellane {
 namespace {
--- a/src/net/config.hpp
+++ b/src/settings/config.hpp
@@ -1,12 +1,12 @@
 // The relay's configuration: one JSON file, read once, and the values of it that the program uses.
 #pragma once
 
-#include <cstdint>
 #include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "cluster.hpp"
 #include "limits.hpp"
 #include "settings.hpp"
 
@@ -18,29 +18,6 @@
   using std::runtime_error::runtime_error;
 };
 
-struct Address {
-  std::string host;  // numeric
-  std::uint16_t port = 0;
-  std::string text() const { return host + ":" + std::to_string(port); }
-};
-
-// One line of discovery's list.
-struct HostEntry {
-  std::string id;
-  Address address;
-  std::uint32_t zone = 0;  // positions in the settings' lists; past their end if unknown
-  std::uint32_t kind = 0;
-  std::uint32_t destination = 0;
-  double rate = 0;
-  starlinghook::Condition condition = starlinghook::Condition::ready;
-};
-
-struct HostList {
-  std::uint64_t version = 0;
-  bool whole = false;
-  std::vector<HostEntry> hosts;
-};
-
 struct Config {
   std::string name;
   Address listen;
