--- /dev/null
+++ b/src/consul/answer_reader.cpp
@@ -0,0 +1,283 @@
+#include "answer_reader.hpp"
+
+#include <json/json.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_set>
+
+#include "config.hpp"
+#include "number.hpp"
+
+namespace fennellane {
+namespace {
+
+constexpr unsigned kMostDepth = 32;
+constexpr double kMostRate = 1e9, kMostWeight = 65535;
+constexpr std::size_t kMostComplaint = 200;
+
+bool blank(char c) { return c == ' ' || c == '\t' || c == '\n' || c == '\r'; }
+
+Json::Value parse_object(std::string_view text) {
+  Json::CharReaderBuilder builder;
+  builder["collectComments"] = false;
+  builder["allowComments"] = false;
+  builder["failIfExtra"] = true;
+  builder["stackLimit"] = kMostDepth + 8;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value value;
+  try {
+    if (reader->parse(text.data(), text.data() + text.size(), &value, nullptr) && value.isObject())
+      return value;
+  } catch (const Json::Exception&) {  // nested too deeply
+  }
+  throw AnswerError("a host is no JSON object");
+}
+
+const Json::Value& part(const Json::Value& in, const char* name, Json::ValueType type) {
+  const Json::Value& value = in[name];
+  if (value.type() != type) throw AnswerError(std::string(name) + " is missing or of a wrong type");
+  return value;
+}
+
+std::string text_or_empty(const Json::Value& in, const char* name) {
+  const Json::Value& value = in[name];
+  if (value.isNull()) return "";
+  if (!value.isString()) throw AnswerError(std::string(name) + " is of a wrong type");
+  return value.asString();
+}
+
+// The worst of the checks; those of maintenance come by their ids.
+HostHealth health_of(const Json::Value& checks) {
+  HostHealth worst = HostHealth::passing;
+  for (const Json::Value& check : checks) {
+    if (!check.isObject()) throw AnswerError("a check is no object");
+    const std::string status = part(check, "Status", Json::stringValue).asString();
+    const std::string id = text_or_empty(check, "CheckID");
+    HostHealth health = HostHealth::passing;
+    if (status == "warning") {
+      health = HostHealth::warning;
+    } else if (status == "critical") {
+      const bool maintenance = id == "_node_maintenance" || id.starts_with("_service_maintenance:");
+      health = maintenance ? HostHealth::maintenance : HostHealth::critical;
+    } else if (status == "maintenance") {
+      health = HostHealth::maintenance;
+    } else if (status != "passing") {
+      throw AnswerError("a check's status is unknown");
+    }
+    worst = std::max(worst, health);
+  }
+  return worst;
+}
+
+double weight_of(const Json::Value& weights, const char* name) {
+  const Json::Value& value = weights[name];
+  if (value.isNull()) return 1;
+  if (!value.isNumeric() || !(value.asDouble() >= 0) || value.asDouble() > kMostWeight) {
+    throw AnswerError(std::string("the weight ") + name + " is out of range");
+  }
+  return value.asDouble();
+}
+
+std::uint32_t position(const std::vector<std::string>& names, const std::string& name) {
+  return static_cast<std::uint32_t>(std::find(names.begin(), names.end(), name) - names.begin());
+}
+
+}  // namespace
+
+void ArraySplitter::reset() {
+  state_ = State::before;
+  element_.clear();
+  depth_ = 0;
+  in_string_ = escaped_ = false;
+}
+
+template <class Take>
+void ArraySplitter::feed(std::string_view bytes, Take take) {
+  std::size_t start = 0;  // of the element's part in `bytes`
+  const auto keep = [&](std::size_t end) {
+    if (element_.size() + (end - start) > most_element_) throw AnswerError("a host's entry is too long");
+    element_.append(bytes.substr(start, end - start));
+  };
+  for (std::size_t i = 0; i < bytes.size(); ++i) {
+    const char c = bytes[i];
+    if (state_ == State::element) {
+      if (in_string_) {
+        if (escaped_) {
+          escaped_ = false;
+        } else if (c == '\\') {
+          escaped_ = true;
+        } else if (c == '"') {
+          in_string_ = false;
+        }
+      } else if (c == '"') {
+        in_string_ = true;
+      } else if (c == '{' || c == '[') {
+        if (++depth_ > kMostDepth) throw AnswerError("a host's entry is nested too deeply");
+      } else if ((c == '}' || c == ']') && --depth_ == 0) {
+        keep(i + 1);
+        state_ = State::between;
+        take(std::string_view(element_));
+        element_.clear();
+      }
+      continue;
+    }
+    if (blank(c)) continue;
+    if (state_ == State::before && c == '[') {
+      state_ = State::first;
+    } else if ((state_ == State::first || state_ == State::next) && c == '{') {
+      state_ = State::element;
+      depth_ = 1;
+      start = i;
+    } else if ((state_ == State::first || state_ == State::between) && c == ']') {
+      state_ = State::after;
+    } else if (state_ == State::between && c == ',') {
+      state_ = State::next;
+    } else {
+      throw AnswerError("the answer is no JSON array of objects");
+    }
+  }
+  if (state_ == State::element) keep(bytes.size());
+}
+
+AnswerReader::AnswerReader(const ConsulSettings& settings, std::uint32_t service, const NamePositions& names,
+                           const AnswerLimits& limits)
+    : settings_(settings), service_(service), names_(names), limits_(limits), splitter_(limits.element) {}
+
+void AnswerReader::begin() {
+  splitter_.reset();
+  staged_.clear();
+  bytes_ = count_ = unusable_ = 0;
+  complaint_.clear();
+  ++answer_;
+}
+
+void AnswerReader::forget() {
+  known_.clear();
+  first_ = true;
+}
+
+void AnswerReader::feed(std::string_view bytes) {
+  bytes_ += bytes.size();
+  if (bytes_ > limits_.bytes) throw AnswerError("the answer is too long");
+  splitter_.feed(bytes, [this](std::string_view element) { take(element); });
+}
+
+void AnswerReader::take(std::string_view element) {
+  if (++count_ > limits_.hosts) throw AnswerError("the answer names too many hosts");
+  const Hash hash{XXH3_128bits(element.data(), element.size())};
+  if (const auto it = known_.find(hash); it != known_.end()) {
+    if (it->second.seen == answer_) throw AnswerError(it->second.id + " is named twice");
+    it->second.seen = answer_;
+    if (!it->second.usable) ++unusable_;
+    return;
+  }
+  staged_.push_back({hash, read(element)});
+}
+
+void AnswerReader::complain(const std::string& id, const std::string& what) {
+  ++unusable_;
+  if (complaint_.empty()) complaint_ = (id + ": " + what).substr(0, kMostComplaint);
+}
+
+// Throws where the entry does not say whose it is or how that host fares; what it says wrongly of a host that
+// it names makes this host unusable and no other.
+Instance AnswerReader::read(std::string_view element) {
+  const Json::Value in = parse_object(element);
+  const ConsulService& of = settings_.services[service_];
+  const Json::Value& node = part(in, "Node", Json::objectValue);
+  const Json::Value& service = part(in, "Service", Json::objectValue);
+  const std::string node_name = part(node, "Node", Json::stringValue).asString();
+  const std::string service_id = part(service, "ID", Json::stringValue).asString();
+  Instance i;
+  // Ids are unique on their node only.
+  i.id = of.name + "/" + node_name + "/" + service_id;
+  i.health = health_of(part(in, "Checks", Json::arrayValue));
+  try {
+    i.address.host = text_or_empty(service, "Address");
+    if (i.address.host.empty()) i.address.host = text_or_empty(node, "Address");
+    if (!is_numeric_host(i.address.host)) {
+      throw AnswerError("its address is a name and there is no DNS: '" + i.address.host + "'");
+    }
+    const Json::Value& port = service["Port"];
+    if (!port.isInt() || port.asInt() < 1 || port.asInt() > 65535) {
+      throw AnswerError("its port is out of range");
+    }
+    i.address.port = static_cast<std::uint16_t>(port.asInt());
+    const Json::Value& weights = service["Weights"];
+    if (weights.isObject()) {
+      i.weight_passing = weight_of(weights, "Passing");
+      i.weight_warning = weight_of(weights, "Warning");
+    } else if (!weights.isNull()) {
+      throw AnswerError("Weights is of a wrong type");
+    }
+    const Json::Value& meta = service["Meta"];
+    if (!meta.isNull() && !meta.isObject()) throw AnswerError("Meta is of a wrong type");
+    const auto told = [&meta](const std::string& key) {
+      return meta.isObject() ? text_or_empty(meta, key.c_str()) : std::string();
+    };
+    const std::string destination = told(settings_.meta.destination), rate = told(settings_.meta.rate);
+    if (!destination.empty()) {
+      const auto number = whole_number(destination, 65535);
+      if (!number) throw AnswerError("its destination is no number up to 65535: '" + destination + "'");
+      i.destination = static_cast<std::uint32_t>(*number);
+    } else if (of.destination) {
+      i.destination = *of.destination;
+    } else {
+      throw AnswerError("neither its Meta nor the settings name its destination");
+    }
+    i.rate = of.rate;
+    if (!rate.empty()) {
+      const char* const end = rate.data() + rate.size();
+      const auto [stop, error] = std::from_chars(rate.data(), end, i.rate);
+      if (error != std::errc() || stop != end || !(i.rate >= 0) || i.rate > kMostRate) {
+        throw AnswerError("its rate is no number: '" + rate + "'");
+      }
+    }
+    const std::string zone = told(settings_.meta.zone), kind = told(settings_.meta.kind);
+    i.zone = position(names_.zones, zone.empty() ? of.zone : zone);
+    i.kind = position(names_.kinds, kind.empty() ? of.kind : kind);
+  } catch (const AnswerError& e) {
+    i.usable = false;
+    complain(i.id, e.what());
+  }
+  return i;
+}
+
+ServiceAnswer AnswerReader::finish() {
+  if (!splitter_.done()) throw AnswerError("the answer ends early");
+  std::unordered_set<std::string_view> stale;  // ids of entries that this answer does not have as they were
+  for (const auto& [hash, known] : known_) {
+    if (known.seen != answer_) stale.insert(known.id);
+  }
+  ServiceAnswer answer;
+  answer.service = service_;
+  std::unordered_set<std::string_view> named;
+  bool any_new = false;
+  for (const Staged& s : staged_) {
+    if (!named.insert(s.instance.id).second) throw AnswerError(s.instance.id + " is named twice");
+    if (stale.erase(s.instance.id) == 0) any_new = true;
+  }
+  // An id is new to this reader, or its entry stands beside the one of before.
+  for (auto it = known_.begin(); any_new && it != known_.end(); ++it) {
+    if (it->second.seen == answer_ && named.contains(it->second.id)) {
+      throw AnswerError(it->second.id + " is named twice");
+    }
+  }
+  for (const std::string_view id : stale) answer.gone.emplace_back(id);
+  // From here on the answer counts.
+  answer.whole = std::exchange(first_, false);
+  std::erase_if(known_, [this](const auto& k) { return k.second.seen != answer_; });
+  for (Staged& s : staged_) {
+    known_[s.hash] = {s.instance.id, answer_, s.instance.usable};
+    answer.changed.push_back(std::move(s.instance));
+  }
+  staged_.clear();
+  return answer;
+}
+
+}  // namespace fennellane
--- /dev/null
+++ b/src/consul/consul_source.hpp
@@ -0,0 +1,72 @@
+// The cluster from Consul: a watch for each service, what membership makes of their answers, and the list
+// kept in the state folder for a start without Consul.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cluster_source.hpp"
+#include "consul_settings.hpp"
+#include "consul_watch.hpp"
+#include "counters.hpp"
+#include "list_store.hpp"
+#include "log.hpp"
+#include "membership.hpp"
+#include "registration.hpp"
+
+namespace fennellane {
+
+struct ConsulPlace {       // what the relay gives to each of its sources
+  std::string relay;       // its name
+  std::uint16_t port = 0;  // that it listens on
+  std::uint64_t seed = 0;
+  NamePositions names;
+  std::string state_folder;
+};
+
+class ConsulSource : public ClusterSource, public std::enable_shared_from_this<ConsulSource> {
+ public:
+  // `before`: the source that this one takes over from, where that was Consul too; may be null. The list it
+  // had goes on; without one, that of an earlier life is told as `cached`.
+  ConsulSource(asio::io_context& io, const ConsulSettings& settings, ConsulPlace place, const Limits& limits,
+               Counters& counters, Log& log, OnList on_list, const ConsulSource* before);
+
+  void start() override;
+  void stop() override;
+  void leave() override;
+  void set_ready() override;
+
+  MembershipFigures figures() const { return membership_.figures(); }
+
+ private:
+  bool take(const ServiceAnswer& answer);  // whether it is wanted once more
+  void tell(MembershipChange change);
+  void arm();
+  void save_later();
+  void save();
+  void copy(const ConsulSource& before);
+
+  asio::io_context& io_;
+  const ConsulSettings settings_;
+  const ConsulPlace place_;
+  const Limits& limits_;
+  Counters& counters_;
+  Log& log_;
+  OnList on_list_;
+  QueryBudget budget_;
+  Membership membership_;
+  ListStore store_;
+  std::vector<std::unique_ptr<ConsulWatch>> watches_;
+  std::shared_ptr<Registration> registration_;  // may be null
+  asio::steady_timer due_;                      // the membership's
+  asio::steady_timer saving_;
+  bool save_armed_ = false;
+  bool seeded_ = false;  // an earlier life's or an earlier source's list is known
+  bool stopped_ = false;
+};
+
+}  // namespace fennellane
--- /dev/null
+++ b/src/consul/list_store.cpp
@@ -0,0 +1,154 @@
+#include "list_store.hpp"
+
+#include <fcntl.h>
+#include <json/json.h>
+#include <unistd.h>
+#include <zstd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <fstream>
+#include <memory>
+#include <sstream>
+
+#include "config.hpp"
+#include "descriptor.hpp"
+
+namespace fennellane {
+namespace {
+
+constexpr const char* kName = "consul.list";
+constexpr const char* kNewName = "consul.list.new";
+constexpr const char* kFirstLine = "fennellane consul list 1";
+constexpr std::size_t kMostText = 64 * 1024 * 1024;
+constexpr int kLevel = 1;
+
+constexpr const char* kHealth[] = {"passing", "warning", "critical", "maintenance"};
+
+std::string name_at(const std::vector<std::string>& names, std::uint32_t position) {
+  return position < names.size() ? names[position] : "";
+}
+std::uint32_t position(const std::vector<std::string>& names, const std::string& name) {
+  return static_cast<std::uint32_t>(std::find(names.begin(), names.end(), name) - names.begin());
+}
+std::string failure(const char* what) { return std::string(what) + ": " + std::strerror(errno); }
+
+std::string compress(const std::string& text) {
+  std::string packed(ZSTD_compressBound(text.size()), '\0');
+  const std::unique_ptr<ZSTD_CCtx, std::size_t (*)(ZSTD_CCtx*)> context(ZSTD_createCCtx(), ZSTD_freeCCtx);
+  ZSTD_CCtx_setParameter(context.get(), ZSTD_c_checksumFlag, 1);
+  ZSTD_CCtx_setParameter(context.get(), ZSTD_c_compressionLevel, kLevel);
+  const std::size_t size =
+      ZSTD_compress2(context.get(), packed.data(), packed.size(), text.data(), text.size());
+  packed.resize(ZSTD_isError(size) ? 0 : size);
+  return packed;
+}
+
+// Empty for what is damaged.
+std::string decompress(const std::string& packed) {
+  const unsigned long long size = ZSTD_getFrameContentSize(packed.data(), packed.size());
+  if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN || size > kMostText) return "";
+  std::string text(static_cast<std::size_t>(size), '\0');
+  const std::size_t got = ZSTD_decompress(text.data(), text.size(), packed.data(), packed.size());
+  return ZSTD_isError(got) || got != text.size() ? "" : text;
+}
+
+Json::Value parse(const std::string& line) {
+  Json::CharReaderBuilder builder;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value value;
+  reader->parse(line.data(), line.data() + line.size(), &value, nullptr);
+  return value;
+}
+
+}  // namespace
+
+ListStore::ListStore(const std::string& folder, std::uint64_t most_bytes)
+    : folder_(folder), most_bytes_(most_bytes) {}
+
+std::string ListStore::save(const Membership& membership, const ConsulSettings& settings,
+                            const NamePositions& names) {
+  if (most_bytes_ == 0) return "";
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  std::string text = std::string(kFirstLine) + "\n";
+  membership.each_instance([&](std::uint32_t service, const Instance& i) {
+    Json::Value line;
+    line["service"] = settings.services[service].name;
+    line["id"] = i.id;
+    line["address"] = i.address.text();
+    line["zone"] = name_at(names.zones, i.zone);
+    line["kind"] = name_at(names.kinds, i.kind);
+    line["destination"] = i.destination;
+    line["rate"] = i.rate;
+    line["passing"] = i.weight_passing;
+    line["warning"] = i.weight_warning;
+    line["health"] = kHealth[static_cast<std::size_t>(i.health)];
+    text += Json::writeString(builder, line) + "\n";
+  });
+  const std::string packed = compress(text);
+  if (packed.empty()) return "cannot compress the list";
+  if (packed.size() > most_bytes_) {
+    return "the list takes " + std::to_string(packed.size()) + " bytes and may take " +
+           std::to_string(most_bytes_) + ": it is not kept";
+  }
+  const std::string fresh = path(kNewName);
+  {
+    const FileDescriptor file(::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644));
+    if (file.get() < 0) return failure("cannot keep the list");
+    for (std::size_t done = 0; done < packed.size();) {
+      const ssize_t n = ::write(file.get(), packed.data() + done, packed.size() - done);
+      if (n < 0 && errno == EINTR) continue;
+      if (n <= 0) {
+        const std::string why = failure("cannot keep the list");
+        ::unlink(fresh.c_str());  // guards the disk's limit against half a list
+        return why;
+      }
+      done += static_cast<std::size_t>(n);
+    }
+  }
+  if (::rename(fresh.c_str(), path(kName).c_str()) != 0) return failure("cannot keep the list");
+  return "";
+}
+
+std::string ListStore::load(const ConsulSettings& settings, const NamePositions& names,
+                            const Take& take) const {
+  ::unlink(path(kNewName).c_str());  // of a crash
+  std::ifstream file(path(kName), std::ios::binary);
+  if (!file) return "";
+  std::ostringstream packed;
+  packed << file.rdbuf();
+  std::istringstream text(decompress(packed.str()));
+  std::string line;
+  if (!std::getline(text, line) || line != kFirstLine) {
+    return "the list of an earlier life cannot be read and is left aside";
+  }
+  try {
+    while (std::getline(text, line)) {
+      const Json::Value in = parse(line);
+      const std::string name = in["service"].asString(), health = in["health"].asString();
+      const auto service = std::find_if(settings.services.begin(), settings.services.end(),
+                                        [&name](const ConsulService& s) { return s.name == name; });
+      const auto known = std::find(std::begin(kHealth), std::end(kHealth), health);
+      if (service == settings.services.end() || known == std::end(kHealth)) continue;
+      Instance i;
+      i.id = in["id"].asString();
+      i.address = numeric_address(in["address"].asString());
+      i.zone = position(names.zones, in["zone"].asString());
+      i.kind = position(names.kinds, in["kind"].asString());
+      i.destination = std::min(in["destination"].asUInt(), 65535u);
+      i.rate = in["rate"].asDouble();
+      i.weight_passing = in["passing"].asDouble();
+      i.weight_warning = in["warning"].asDouble();
+      i.health = static_cast<HostHealth>(known - std::begin(kHealth));
+      take(static_cast<std::uint32_t>(service - settings.services.begin()), i);
+    }
+  } catch (const std::exception& e) {
+    return std::string("the list of an earlier life is read in part: ") + e.what();
+  }
+  return "";
+}
+
+}  // namespace fennellane
--- /dev/null
+++ b/src/consul/registration.cpp
@@ -0,0 +1,126 @@
+#include "registration.hpp"
+
+#include <json/json.h>
+
+#include <algorithm>
+#include <asio/co_spawn.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/use_awaitable.hpp>
+
+namespace fennellane {
+namespace {
+
+std::string milliseconds_text(Time time) { return std::to_string(time.count() / 1000) + "ms"; }
+
+}  // namespace
+
+std::string registration_json(const ConsulRegistration& registration, const std::string& id) {
+  Json::Value check;
+  check["CheckID"] = "service:" + id;
+  check["Name"] = "ready";
+  check["TTL"] = milliseconds_text(registration.ttl);
+  check["DeregisterCriticalServiceAfter"] = milliseconds_text(registration.forget_after);
+  Json::Value body;
+  body["Name"] = registration.service;
+  body["ID"] = id;
+  body["Address"] = registration.address;
+  body["Port"] = registration.port;
+  body["Check"] = check;
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, body);
+}
+
+Registration::Registration(asio::io_context& io, ConsulSettings settings, std::string id,
+                           const Limits& limits, Counters& counters, Log& log)
+    : io_(io),
+      settings_(std::move(settings)),
+      id_(std::move(id)),
+      limits_(limits),
+      counters_(counters),
+      log_(log),
+      client_(io, settings_.agent, limits, limits.body),
+      pause_(io) {}
+
+void Registration::start() {
+  asio::co_spawn(
+      io_, [self = shared_from_this()]() -> asio::awaitable<void> { co_await self->run(); }, rethrow);
+}
+
+void Registration::set_ready() {
+  if (ready_) return;
+  ready_ = true;
+  pause_.cancel();
+}
+
+void Registration::leave() {
+  if (leaving_) return;
+  leaving_ = true;
+  pause_.cancel();
+}
+
+asio::awaitable<void> Registration::rest(Time span) {
+  if (leaving_) co_return;
+  pause_.expires_after(span);
+  asio::error_code cut_short;
+  co_await pause_.async_wait(asio::redirect_error(asio::use_awaitable, cut_short));
+}
+
+asio::awaitable<unsigned> Registration::put(std::string target, std::string body) {
+  if (!client_.open()) {
+    const bool connected = co_await client_.connect(limits_.notice_answer);
+    if (!connected) co_return 0;
+  }
+  std::string text = "PUT " + target + " HTTP/1.1\r\nHost: " + settings_.agent.text() + "\r\n";
+  if (!settings_.token.empty()) text += "X-Consul-Token: " + settings_.token + "\r\n";
+  text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  const bool sent = co_await client_.send(std::move(text), limits_.notice_answer);
+  bool answered = false;
+  if (sent) answered = co_await client_.read_answer(limits_.notice_answer);
+  const unsigned status = answered ? client_.answer().status() : 0;
+  client_.answer().take_body();
+  if (status != 200) client_.close();
+  co_return status;
+}
+
+asio::awaitable<void> Registration::run() {
+  const Time beat = settings_.registration->ttl / 3;
+  Time backoff = limits_.backoff_least;
+  bool registered = false;
+  while (!leaving_) {
+    unsigned status = 0;
+    if (!registered) {
+      status = co_await put("/v1/agent/service/register", registration_json(*settings_.registration, id_));
+      registered = status == 200;
+    }
+    if (registered && !leaving_) {
+      status =
+          co_await put(std::string("/v1/agent/check/") + (ready_ ? "pass" : "fail") + "/service:" + id_, "");
+      // An agent that was restarted may know nothing of it: then it is registered anew.
+      if (status != 200 && status != 0) registered = false;
+    }
+    if (leaving_) break;
+    if (status == 200) {
+      if (failing_) log_("consul", "registration: in place again");
+      failing_ = false;
+      backoff = limits_.backoff_least;
+      ++counters_.consul_beats;
+      const bool was_ready = ready_;
+      co_await rest(beat);
+      if (was_ready == ready_) continue;
+    } else {
+      if (!failing_) log_("consul", "registration: status " + std::to_string(status) + "; it is tried again");
+      failing_ = true;
+      co_await rest(backoff);
+      backoff = std::min(backoff * 2, limits_.backoff_most);
+    }
+  }
+  if (registered) {
+    const unsigned status = co_await put("/v1/agent/service/deregister/" + id_, "");
+    log_("consul", status == 200 ? "registration: given back"
+                                 : "registration: not given back, status " + std::to_string(status));
+  }
+  client_.close();
+}
+
+}  // namespace fennellane
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -13,6 +13,7 @@
   std::string host;  // numeric
   std::uint16_t port = 0;
   std::string text() const { return host + ":" + std::to_string(port); }
+  bool operator==(const Address&) const = default;
 };
 
 // One host as its source tells it.
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -34,6 +34,13 @@
   add("lists", c.lists);
   add("discovery_connects", c.discovery_connects);
   add("reloads", c.reloads);
+  add("unnoticed", c.unnoticed);
+  add("consul.queries", c.consul_queries);
+  add("consul.answers", c.consul_answers);
+  add("consul.errors", c.consul_errors);
+  add("consul.rejected", c.consul_rejected);
+  add("consul.saves", c.consul_saves);
+  add("consul.beats", c.consul_beats);
   add("journal.held", j.held);
   add("journal.bytes", j.bytes);
   add("journal.records", j.records);
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -35,6 +35,14 @@
   std::uint64_t lists = 0;
   std::uint64_t discovery_connects = 0;
   std::uint64_t reloads = 0;  // new configurations taken up
+  // Consul.
+  std::uint64_t consul_queries = 0;
+  std::uint64_t consul_answers = 0;   // read whole
+  std::uint64_t consul_errors = 0;    // queries that brought none
+  std::uint64_t consul_rejected = 0;  // of these, for what was in the answer
+  std::uint64_t consul_saves = 0;     // times that the list was kept
+  std::uint64_t consul_beats = 0;     // of the relay's own check
+  std::uint64_t unnoticed = 0;        // undelivered ends that only the log has heard of
 };
 
 struct JournalFigures {
--- a/src/core/limits.cpp
+++ b/src/core/limits.cpp
@@ -4,7 +4,8 @@
 
 namespace fennellane {
 
-Limits make_limits(const Allowance& allowance, std::size_t slots, std::size_t held, Time connect, Time idle) {
+Limits make_limits(const Allowance& allowance, std::size_t slots, std::size_t held, Time connect, Time idle,
+                   bool keeps_list) {
   Limits limits;
   // Guards the descriptors: files, epoll, timers, the listener, discovery and notices take a few.
   constexpr std::size_t kOthers = 32;
@@ -23,7 +24,9 @@
   // While a journal is compacted the old and the new file stand side by side.
   constexpr std::uint64_t kBlock = 512;
   const auto disk = static_cast<std::uint64_t>(std::max(0.0, allowance.disk_mb) * 1e6);
-  limits.journal_file = disk / 2 / kBlock * kBlock;
+  // A fifth of the disk is for the list, of which two may stand side by side as well.
+  if (keeps_list) limits.list_file = disk / 10 / kBlock * kBlock;
+  limits.journal_file = (disk - 2 * limits.list_file) / 2 / kBlock * kBlock;
   limits.journal_file -= std::min(limits.journal_file, 8 * kBlock);
   limits.connect = connect;
   limits.upstream_idle = idle * 3 / 4;
--- a/src/core/limits.hpp
+++ b/src/core/limits.hpp
@@ -20,6 +20,9 @@
   std::size_t discovery_line = 4 * 1024 * 1024;
   std::size_t notice_batch = 32 * 1024;
   std::uint64_t journal_file = 0;  // one file; while it is compacted there are two
+  std::uint64_t list_file = 0;     // the list kept for a start without its source; two while it is written
+  std::size_t consul_answer = 32 * 1024 * 1024;  // one answer, read piece by piece
+  std::size_t consul_host = 64 * 1024;           // one host's part of it
 
   // Counts.
   std::size_t downstream_connections = 0;
@@ -28,7 +31,8 @@
   std::size_t unnoticed = 0;  // these and the ended ones whose notice has not been taken
   std::size_t remembered_ids = 4096;
   std::uint32_t most_destination = 65535;
-  unsigned interim_answers = 32;  // in front of one answer
+  std::size_t consul_hosts = 20000;  // of one service
+  unsigned interim_answers = 32;     // in front of one answer
 
   // Times.
   // From a request's first byte to its last, and for a connection's first one from when it was accepted.
@@ -52,6 +56,7 @@
   Time discovery_silence = std::chrono::milliseconds(4500);
   Time backoff_least = std::chrono::milliseconds(50);
   Time backoff_most = std::chrono::seconds(1);
+  Time list_gap = std::chrono::seconds(2);  // between two times that the list is kept
   Time most_budget = std::chrono::hours(24);
   // From SIGTERM on: idle clients are sent away, then no call starts that may outlast the end, then the end.
   Time stop_idle = std::chrono::milliseconds(600);
@@ -66,7 +71,9 @@
   bool operator==(const Allowance&) const = default;
 };
 
-// `slots` calls may be out at once, `held` messages be held.
-Limits make_limits(const Allowance& allowance, std::size_t slots, std::size_t held, Time connect, Time idle);
+// `slots` calls may be out at once, `held` messages be held; `keeps_list`: a list of hosts is kept on the
+// disk.
+Limits make_limits(const Allowance& allowance, std::size_t slots, std::size_t held, Time connect, Time idle,
+                   bool keeps_list = false);
 
 }  // namespace fennellane
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -173,6 +173,8 @@
 }
 
 void Reducer::on(const ClusterChanged& c) {
+  std::vector<HostId> gone;
+  bool drains = false;
   starlinghook::ListChanged change;
   change.whole = c.list.whole;
   change.cached = c.cached;
@@ -183,6 +185,8 @@
     for (auto& [id, host] : cluster_) {
       if (host.entry.condition == Condition::gone || named.count(host.entry.id)) continue;
       host.entry.condition = Condition::gone;
+      gone.push_back(id);
+      drains = true;
       effect(RetireHost{id});
     }
   }
@@ -194,14 +198,17 @@
     // Guards a host that comes at a new address against a connection to the old one.
     const bool moved = known && entry.address.text() != host.entry.address.text();
     if (entry.condition != Condition::ready || moved) effect(RetireHost{id});
+    drains = drains || entry.condition != Condition::ready;
     host.entry = entry;
+    if (entry.condition == Condition::gone) gone.push_back(id);
     if (entry.destination >= destinations_.size()) destinations_.resize(entry.destination + 1);
     destinations_[entry.destination] = true;
     change.entries.push_back({id, entry.destination, entry.zone, entry.kind, entry.rate, entry.condition});
   }
-  hold_back([](const HostEntry& host) { return host.condition != Condition::ready; });
+  // Nothing is sought among the streams, or among all hosts, for a change that only brings hosts.
+  if (drains) hold_back([](const HostEntry& host) { return host.condition != Condition::ready; });
   decide(change);
-  for (auto it = cluster_.begin(); it != cluster_.end();) forget((it++)->first);
+  for (const HostId id : gone) forget(id);
 }
 
 void Reducer::on(const NoticeTaken& n) {
--- a/src/delivery_policy.cpp
+++ b/src/delivery_policy.cpp
@@ -300,8 +300,10 @@
       std::pair key(entry.destination, routes_apart(entry) ? std::optional(entry.endpoint) : std::nullopt);
       Endpoint& endpoint = endpoints_[entry.endpoint];
       if (endpoint.route == nullptr) endpoint.lot = random_();
-      if (endpoint.route != nullptr)
-        destinations_[endpoint.entry.destination].endpoints.erase(entry.endpoint);
+      if (endpoint.route) destinations_[endpoint.entry.destination].endpoints.erase(entry.endpoint);
+      // Guards an endpoint whose drain is taken back, as by a health check: it may be cold. Shortens nothing.
+      const bool up = endpoint.entry.condition == Condition::draining && entry.condition == Condition::ready;
+      if (up && !failing(endpoint.health)) endpoint.health.sick = true, endpoint.health.ok_since = now_;
       endpoint.entry = entry;
       if (entry.condition == Condition::gone) gone_.insert(entry.endpoint);
       endpoint.route = &routes_[key];
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -38,6 +38,7 @@
   // fails.
   void redirect(const Address& address);
   HttpReader& answer() { return answer_; }
+  const HttpReader& answer() const { return answer_; }
   bool open() const { return socket_.is_open(); }
   void close();
 
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -331,7 +331,7 @@
     if (error == asio::error::operation_aborted) return;
     // Guards against spinning, or ending, where no descriptor is left.
     if (error) {
-      if (!std::exchange(said_, true)) log_("downstream: cannot accept: " + error.message());
+      if (!std::exchange(said_, true)) log_("downstream", "cannot accept: " + error.message());
       return pause_accepting();
     }
     const bool room = make_room();
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -155,10 +155,6 @@
 
 }  // namespace
 
-FileDescriptor::~FileDescriptor() {
-  if (fd_ >= 0) ::close(fd_);
-}
-
 Journal::Journal(std::string folder, std::uint64_t most_bytes)
     : folder_(std::move(folder)), most_bytes_(most_bytes) {
   ::unlink(path(kNewName).c_str());  // of a compaction that a crash cut short
--- a/src/journal/journal.hpp
+++ b/src/journal/journal.hpp
@@ -10,8 +10,8 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
-#include <utility>
 
+#include "descriptor.hpp"
 #include "stream.hpp"
 
 namespace fennellane {
@@ -21,21 +21,6 @@
   using std::runtime_error::runtime_error;
 };
 
-class FileDescriptor {
- public:
-  explicit FileDescriptor(int fd = -1) : fd_(fd) {}
-  FileDescriptor(FileDescriptor&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
-  FileDescriptor& operator=(FileDescriptor&& other) noexcept {
-    std::swap(fd_, other.fd_);
-    return *this;
-  }
-  ~FileDescriptor();
-  int get() const { return fd_; }
-
- private:
-  int fd_;
-};
-
 class Journal {
  public:
   // Opens the journal in the folder, reads what it holds and cuts a torn tail. Throws JournalError.
--- /dev/null
+++ b/src/membership/damping.hpp
@@ -0,0 +1,33 @@
+// Route-flap damping (RFC 2439) of one host: each going counts 1, the count halves with time, and a return
+// waits while it is high. Only returns wait, so a drain is never delayed.
+#pragma once
+
+#include "starlinghook/delivery.hpp"
+
+namespace fennellane {
+
+using starlinghook::Time;
+
+struct DampingSettings {
+  double suppress = 3;  // at so much a return waits
+  double reuse = 1.5;   // until it has come down to this
+  Time half_life = std::chrono::seconds(15);
+  Time most = std::chrono::seconds(60);  // that a return may wait
+};
+
+class Damping {
+ public:
+  void went(Time now, const DampingSettings& settings);
+  // When a host that may come back now is to take work: `now`, or later.
+  Time back_at(Time now, const DampingSettings& settings) const;
+  // Whether the count has come down so far that nothing is to be remembered.
+  bool idle(Time now, const DampingSettings& settings) const { return count(now, settings) < 0.5; }
+
+ private:
+  double count(Time now, const DampingSettings& settings) const;
+
+  double count_ = 0;
+  Time at_{};
+};
+
+}  // namespace fennellane
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -7,17 +7,27 @@
 
 namespace fennellane {
 
-Discovery::Discovery(asio::io_context& io, const Config& config, Counters& counters, Log& log, OnList on_list)
+Discovery::Discovery(asio::io_context& io, const Config& config, const Address& address, Counters& counters,
+                     Log& log, OnList on_list)
     : io_(io),
       config_(config),
       counters_(counters),
       log_(log),
       on_list_(std::move(on_list)),
-      address_(config.discovery),
+      address_(address),
       client_(io, address_, config.limits, config.limits.discovery_line),
       pause_(io) {}
 
-void Discovery::start() { asio::co_spawn(io_, run(), rethrow); }
+void Discovery::start() {
+  asio::co_spawn(
+      io_, [self = shared_from_this()]() -> asio::awaitable<void> { co_await self->run(); }, rethrow);
+}
+
+void Discovery::stop() {
+  stopped_ = true;
+  client_.close();
+  pause_.cancel();
+}
 
 void Discovery::redirect(const Address& address) {
   address_ = address;
@@ -41,10 +51,10 @@
     version_ = list.version;
     have_list_ = true;
     ++counters_.lists;
-    on_list_(std::move(list));
+    if (!stopped_) on_list_(std::move(list), false);
     return true;
   } catch (const ConfigError& e) {
-    log_(std::string("discovery: ") + e.what());
+    log_("discovery", e.what());
     return false;
   }
 }
@@ -87,7 +97,7 @@
 asio::awaitable<void> Discovery::run() {
   const Limits& limits = config_.limits;
   Time backoff = limits.backoff_least;
-  while (true) {
+  while (!stopped_) {
     ++counters_.discovery_connects;
     redirected_ = false;
     bool good = co_await client_.connect(limits.discovery_answer);
@@ -97,6 +107,7 @@
     }
     if (good) good = co_await watch();
     client_.close();
+    if (stopped_) break;
     // Guards against a new address waiting out the pause that its predecessor's outage had earned.
     if (redirected_) good = true;
     backoff = good ? limits.backoff_least : std::min(backoff * 2, limits.backoff_most);
--- a/src/platform/discovery.hpp
+++ b/src/platform/discovery.hpp
@@ -4,20 +4,22 @@
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
-#include <functional>
+#include <memory>
 
 #include "client.hpp"
+#include "cluster_source.hpp"
 #include "config.hpp"
 #include "counters.hpp"
 #include "log.hpp"
 
 namespace fennellane {
 
-class Discovery {
+class Discovery : public ClusterSource, public std::enable_shared_from_this<Discovery> {
  public:
-  using OnList = std::function<void(HostList)>;
-  Discovery(asio::io_context& io, const Config& config, Counters& counters, Log& log, OnList on_list);
-  void start();
+  Discovery(asio::io_context& io, const Config& config, const Address& address, Counters& counters, Log& log,
+            OnList on_list);
+  void start() override;
+  void stop() override;
   // Discovery is at another address now: its versions are of its own, so the whole list is fetched anew. The
   // list that is held stands until then.
   void redirect(const Address& address);
@@ -39,6 +41,7 @@
   asio::steady_timer pause_;  // between two connections
   std::uint64_t version_ = 0;
   bool have_list_ = false;
+  bool stopped_ = false;
   bool redirected_ = false;  // since the newest connection began
 };
 
--- a/src/platform/notices.cpp
+++ b/src/platform/notices.cpp
@@ -87,7 +87,7 @@
       backoff = limits.backoff_least;
     } else if (status == 400 && count == 1) {
       // Guards against one line that is never taken holding up all that follow.
-      log_("notices: the platform cannot read " + lines_.front().text);
+      log_("notices", "the platform cannot read " + lines_.front().text);
     } else {
       // Guards against a batch refused for one of its lines: they go one by one.
       if (status == 400) most = 1;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -1,5 +1,6 @@
 #include "relay.hpp"
 
+#include <asio/post.hpp>
 #include <csignal>
 #include <utility>
 
@@ -18,18 +19,14 @@
 Relay::Relay(Config config, const std::string& state_folder, std::function<Config()> reread)
     : config_(std::move(config)),
       reread_(std::move(reread)),
-      discovery_address_(config_.discovery),
+      state_folder_(state_folder),
+      present_(config_),
       io_(1),
-      log_(config_.name),
+      log_(config_.name, config_.log),
       journal_(state_folder, config_.limits.journal_file),
       reducer_(config_.boot.settings, config_.limits, journal_.next_stream(), counters_),
       upstream_(io_, config_, counters_, [this](const CallEnded& ended) { input(ended); }),
       notices_(io_, config_, counters_, log_, [this](StreamId stream) { input(NoticeTaken{stream}); }),
-      discovery_(io_, config_, counters_, log_,
-                 [this](HostList list) {
-                   input(ClusterChanged{std::move(list), false});
-                   downstream_.set_ready();  // the journal was replayed before
-                 }),
       downstream_(io_, config_, counters_, log_,
                   [this](Offered offer) {
                     offer.journal_has_room = journal_.has_room(offer.id.size(), offer.body->size());
@@ -46,13 +43,13 @@
   downstream_.listen();
   await_signal();
   input(Started{});
-  if (!config_.known.hosts.empty()) input(ClusterChanged{config_.known, true});
+  if (!config_.known.hosts.empty()) take_list(config_.known, config_.source != MembershipSource::list);
   restore();
   // A list saved by an earlier life may be old, but is a list: during an outage of discovery it is the only
   // one.
-  if (!config_.known.hosts.empty()) downstream_.set_ready();
-  notices_.start();
-  discovery_.start();
+  if (!config_.known.hosts.empty()) set_ready();
+  if (config_.platform) notices_.start();
+  take_source(config_);
   io_.run();
   // Guards against ending a connection whose request has come and has not been answered.
   io_.restart();
@@ -62,14 +59,14 @@
 
 void Relay::restore() {
   if (journal_.cut_bytes() > 0)
-    log_("journal: cut a torn tail of " + std::to_string(journal_.cut_bytes()) + " bytes");
+    log_("journal", "cut a torn tail of " + std::to_string(journal_.cut_bytes()) + " bytes");
   const WallTime now = wall_now();
   const auto held = journal_.held();  // a copy: replaying writes to it
   for (const auto& [stream, entry] : held) {
     input(Restored{stream, entry, std::max(Time(0), entry.deadline - now),
                    std::max(Time(0), now - entry.out_since), std::max(Time(0), now - entry.doubt_since)});
   }
-  if (!held.empty()) log_("journal: " + std::to_string(held.size()) + " messages go on");
+  if (!held.empty()) log_("journal", std::to_string(held.size()) + " messages go on");
 }
 
 void Relay::input(const Input& input) {
@@ -92,14 +89,20 @@
 void Relay::carry(HoldBack& e) { upstream_.hold_back(e); }
 void Relay::carry(CloseIdle& e) { upstream_.close_idle(e.host); }
 void Relay::carry(RetireHost& e) { upstream_.retire(e.host); }
-void Relay::carry(PostNotice& e) { notices_.post(e); }
+void Relay::carry(PostNotice& e) {
+  if (config_.platform) return notices_.post(e);
+  // Without a platform the log is all that hears of it, and the end is recorded right after.
+  ++counters_.unnoticed;
+  log_("undelivered", e.id + (e.verdict == Verdict::deferred ? ": deferred" : ": undeliverable"));
+  asio::post(io_, [this, stream = e.stream] { input(NoticeTaken{stream}); });
+}
 void Relay::carry(SetTimer& e) {
   timer_.expires_at(steady_clock::time_point(duration_cast<steady_clock::duration>(e.at)));
   timer_.async_wait([this](asio::error_code error) {
     if (!error) input(TimerDue{});
   });
 }
-void Relay::carry(Say& e) { log_(e.text); }
+void Relay::carry(Say& e) { log_("module", e.text); }
 
 void Relay::await_signal() {
   signals_.async_wait([this](asio::error_code error, int signal) {
@@ -115,22 +118,67 @@
   });
 }
 
+void Relay::set_ready() {
+  ready_ = true;
+  downstream_.set_ready();
+  if (consul_) consul_->set_ready();
+}
+
+void Relay::take_list(HostList list, bool cached) {
+  const bool any = !list.hosts.empty() || list.whole;
+  input(ClusterChanged{std::move(list), cached});
+  if (any) set_ready();  // the journal was replayed before
+}
+
+void Relay::take_source(const Config& wanted) {
+  const std::shared_ptr<ConsulSource> before = std::exchange(consul_, nullptr);
+  const std::shared_ptr<Discovery> old_discovery = std::exchange(discovery_, nullptr);
+  if (before) before->stop();
+  if (old_discovery) old_discovery->stop();
+  const auto on_list = [this](HostList list, bool cached) { take_list(std::move(list), cached); };
+  switch (wanted.source) {
+    case MembershipSource::platform:
+      log_("membership", "from the platform, at " + wanted.discovery.text());
+      discovery_ = std::make_shared<Discovery>(io_, config_, wanted.discovery, counters_, log_, on_list);
+      return discovery_->start();
+    case MembershipSource::list:
+      log_("membership", "from the settings, " + std::to_string(wanted.known.hosts.size()) + " hosts");
+      return take_list(wanted.known, false);
+    case MembershipSource::consul:
+      log_("membership", "from Consul, at " + wanted.consul->agent.text());
+      consul_ = std::make_shared<ConsulSource>(io_, *wanted.consul,
+                                               ConsulPlace{config_.name,
+                                                           config_.listen.port,
+                                                           wanted.seed,
+                                                           {config_.boot.zones, config_.boot.kinds},
+                                                           state_folder_},
+                                               config_.limits, counters_, log_, on_list, before.get());
+      if (ready_) consul_->set_ready();
+      consul_->start();
+  }
+}
+
 // A new file is taken whole or not at all: one that cannot be used changes nothing. What is held, out or owed
 // goes on, and discovery's list stands until the new address has sent one.
 void Relay::reload() {
   try {
     const Config wanted = reread_();
     for (const std::string& part : fixed_parts_changed(config_, wanted)) {
-      log_("reload: " + part + " has changed and needs a restart; the old one stays");
+      log_("reload", part + " has changed and needs a restart; the old one stays");
     }
     ++counters_.reloads;
-    if (wanted.discovery.text() == discovery_address_.text()) return log_("reload: discovery has not moved");
-    discovery_address_ = wanted.discovery;
-    log_("reload: discovery is at " + discovery_address_.text());
-    discovery_.redirect(discovery_address_);
-    notices_.redirect(discovery_address_);
+    const bool moved = wanted.discovery.text() != present_.discovery.text();
+    if (config_.platform && moved) notices_.redirect(wanted.discovery);
+    if (wanted.source == MembershipSource::platform && discovery_) {
+      present_ = wanted;
+      if (!moved) return log_("reload", "discovery has not moved");
+      log_("reload", "discovery is at " + wanted.discovery.text());
+      return discovery_->redirect(wanted.discovery);
+    }
+    take_source(wanted);
+    present_ = wanted;
   } catch (const ConfigError& e) {
-    log_(std::string("reload: the old configuration stays: ") + e.what());
+    log_("reload", std::string("the old configuration stays: ") + e.what());
   }
 }
 
@@ -139,9 +187,10 @@
 void Relay::stop() {
   stopping_ = true;
   const Limits& limits = config_.limits;
-  log_("stopping");
+  log_("", "stopping");
   input(StopAsked{steady_now() + limits.stop_total - limits.stop_margin});
   downstream_.send_away();
+  if (consul_) consul_->leave();
   stop_timer_.expires_after(limits.stop_idle);
   stop_timer_.async_wait([this, &limits](asio::error_code error) {
     if (error) return;
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -6,9 +6,12 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <functional>
+#include <memory>
 #include <string>
 
+#include "cluster_source.hpp"
 #include "config.hpp"
+#include "consul_source.hpp"
 #include "counters.hpp"
 #include "discovery.hpp"
 #include "downstream.hpp"
@@ -49,11 +52,16 @@
   void await_signal();
   void stop();
   void reload();
+  // Where the list comes from now; the list that stands does so until the new source has one.
+  void take_source(const Config& wanted);
+  void take_list(HostList list, bool cached);
+  void set_ready();
   void print_counters();
 
   const Config config_;
   const std::function<Config()> reread_;
-  Address discovery_address_;
+  const std::string state_folder_;
+  Config present_;  // as last reread; of what only a restart changes, config_ holds
   asio::io_context io_;
   Log log_;
   Counters counters_;
@@ -61,11 +69,13 @@
   Reducer reducer_;
   Upstream upstream_;
   Notices notices_;
-  Discovery discovery_;
+  std::shared_ptr<Discovery> discovery_;  // at most one of these two is there
+  std::shared_ptr<ConsulSource> consul_;
   Downstream downstream_;
   asio::steady_timer timer_;  // the module's
   asio::steady_timer stop_timer_;
   asio::signal_set signals_;
+  bool ready_ = false;
   bool stopping_ = false;
 };
 
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -11,6 +11,7 @@
 #include <sstream>
 
 #include "number.hpp"
+#include "settings_file.hpp"
 
 namespace fennellane {
 namespace {
@@ -93,17 +94,6 @@
   return static_cast<std::uint32_t>(it - names.begin());
 }
 
-// Guards against an address that is found to be of no use only when it is connected to: there is no DNS.
-Address numeric_address(const std::string& text) {
-  Address address = parse_address(text);
-  unsigned char bytes[sizeof(in6_addr)];
-  if (inet_pton(AF_INET, address.host.c_str(), bytes) != 1 &&
-      inet_pton(AF_INET6, address.host.c_str(), bytes) != 1) {
-    throw ConfigError("no numeric address: " + text);
-  }
-  return address;
-}
-
 HostList read_hosts(const Json::Value& in, const wire::BootInfo& boot) {
   HostList list;
   list.version = static_cast<std::uint64_t>(number_of(in, "version", 0, 1e15));
@@ -134,6 +124,18 @@
 
 }  // namespace
 
+bool is_numeric_host(const std::string& host) {
+  unsigned char bytes[sizeof(in6_addr)];
+  return inet_pton(AF_INET, host.c_str(), bytes) == 1 || inet_pton(AF_INET6, host.c_str(), bytes) == 1;
+}
+
+// Guards against an address that is found to be of no use only when it is connected to: there is no DNS.
+Address numeric_address(const std::string& text) {
+  Address address = parse_address(text);
+  if (!is_numeric_host(address.host)) throw ConfigError("no numeric address: " + text);
+  return address;
+}
+
 Address parse_address(std::string_view text) {
   const std::size_t colon = text.rfind(':');
   const auto port =
@@ -181,7 +183,8 @@
     s.can_probe = false;        // PROTOCOL has no probes
     s.list_on_request = false;  // discovery's watch is the relay's own
     if (in.isMember("known")) config.known = read_hosts(member(in, "known", Json::objectValue), config.boot);
-    config.limits = make_limits(config.allowance, s.slots, s.max_held, s.connect_timeout, s.connection_idle);
+    config.seed = salt;
+    fill_limits(config);
     return config;
   } catch (const wire::BadInput& e) {
     throw ConfigError(e.what());
@@ -202,11 +205,25 @@
   return parts;
 }
 
-Config read_config(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  std::ostringstream text;
-  if (!file || !(text << file.rdbuf())) throw ConfigError("cannot read " + path);
-  return parse_config(text.str());
+void fill_limits(Config& config) {
+  const starlinghook::Settings& s = config.boot.settings;
+  config.limits = make_limits(config.allowance, s.slots, s.max_held, s.connect_timeout, s.connection_idle,
+                              config.keeps_list);
+}
+
+Config read_config(const std::string& path, const std::string& settings_path) {
+  const auto read = [](const std::string& from) {
+    std::ifstream file(from, std::ios::binary);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf())) throw ConfigError("cannot read " + from);
+    return text.str();
+  };
+  if (path.empty() && settings_path.empty())
+    throw ConfigError("neither a configuration nor settings are given");
+  std::optional<Config> platform;
+  if (!path.empty()) platform = parse_config(read(path));
+  if (settings_path.empty()) return *platform;
+  return apply_settings(read(settings_path), settings_path, std::move(platform));
 }
 
 }  // namespace fennellane
--- /dev/null
+++ b/src/settings/consul_settings.hpp
@@ -0,0 +1,55 @@
+// What the operators' settings say of Consul.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cluster.hpp"
+#include "limits.hpp"
+#include "membership.hpp"
+
+namespace fennellane {
+
+enum class Consistency { normal, stale, consistent };
+
+struct ConsulService {
+  std::string name;
+  std::string tag;  // only instances with it; empty = all
+  // Where an instance's Meta says nothing.
+  std::optional<std::uint32_t> destination;
+  std::string zone, kind;
+  double rate = 0;
+  bool operator==(const ConsulService&) const = default;
+};
+
+struct ConsulMetaKeys {
+  std::string destination = "destination", zone = "zone", kind = "kind", rate = "rate";
+  bool operator==(const ConsulMetaKeys&) const = default;
+};
+
+struct ConsulRegistration {
+  std::string service;
+  std::string address;  // numeric; that others reach this relay at
+  std::uint16_t port = 0;
+  Time ttl = std::chrono::seconds(10);
+  Time forget_after = std::chrono::minutes(10);
+  bool operator==(const ConsulRegistration&) const = default;
+};
+
+struct ConsulSettings {
+  Address agent;
+  std::string token;  // never logged
+  std::string datacenter;
+  Consistency consistency = Consistency::normal;
+  Time wait = std::chrono::seconds(55);
+  Time answer = std::chrono::seconds(10);
+  Time most_stale = std::chrono::seconds(5);
+  double queries_per_second = 50;
+  std::vector<ConsulService> services;
+  ConsulMetaKeys meta;
+  MembershipSettings membership;
+  std::optional<ConsulRegistration> registration;
+};
+
+}  // namespace fennellane
--- /dev/null
+++ b/tests/consul_test.cpp
@@ -0,0 +1,284 @@
+// The relay with Consul as its membership source, against the stand-in agent.
+#include "consul_agent.hpp"
+#include "relay_fixture.hpp"
+
+namespace fennellane {
+namespace {
+
+using namespace test;
+using standin::CatalogueHost;
+using standin::ConsulAgent;
+using standin::Fault;
+
+std::uint16_t port_of(const std::string& address) {
+  return static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+}
+
+CatalogueHost host_at(const std::string& id, const std::string& address, int destination = 7) {
+  CatalogueHost host;
+  host.id = id;
+  host.port = port_of(address);
+  host.meta = {{"destination", std::to_string(destination)}, {"rate", "200"}};
+  return host;
+}
+
+std::string settings_text(const std::string& agent, const std::string& more = "",
+                          const std::string& of_service = "") {
+  return "(membership \"consul\")\n(consul (address \"" + agent + "\") (service (name \"bank\")" +
+         of_service + ")\n" + more + ")\n";
+}
+
+// A relay beside the platform (which takes its notices), an agent and one partner system that answers.
+class Consul : public testing::Test {
+ protected:
+  Consul() { agent.put("bank", host_at("b1", host.address())); }
+  // Offers one message and says what the client heard.
+  unsigned offer(const std::string& id, const std::string& kind = "note", int destination = 7) {
+    std::string text = request_text(id, "x", kind);
+    return relay.ask(text.replace(text.find("dest=7"), 6, "dest=" + std::to_string(destination)));
+  }
+  void start(const std::string& more = "") {
+    relay.replace_settings(settings_text(agent.address(), more));
+    relay.start();
+  }
+  void settings(const std::string& text) {
+    relay.replace_settings(text);
+    relay.signal(SIGHUP);
+  }
+
+  std::atomic<bool> refuses = false;
+  Server host{[this](const Request&) { return answer(refuses ? "503 Full" : "200 OK"); }};
+  Server other{[](const Request&) { return answer("200 OK"); }};
+  Platform platform{{{"p-1", other.address()}}};
+  ConsulAgent agent;
+  Program relay{platform.address()};
+};
+
+TEST_F(Consul, DeliversToWhatTheCatalogueNames) {
+  start();
+  EXPECT_EQ(offer("a1"), 202u);
+  EXPECT_TRUE(happens([&] { return host.count("a1") == 1; })) << relay.log();
+  EXPECT_EQ(offer("a2", "note", 8), 400u);  // a destination that no one names
+  agent.put("bank", host_at("b2", other.address(), 8));
+  EXPECT_TRUE(happens([&] { return offer("a3", "note", 8) == 202; })) << relay.log();
+  EXPECT_TRUE(happens([&] { return other.count("a3") == 1; }));
+  EXPECT_EQ(platform.watches(), 0u);
+}
+
+// A drain, a removal, a return: messages held meanwhile go out when a host takes work again.
+TEST_F(Consul, NothingNewGoesToWhatDrainsOrIsGone) {
+  start();
+  ASSERT_EQ(offer("a1"), 202u);
+  ASSERT_TRUE(happens([&] { return host.count("a1") == 1; }));
+  for (const char* how : {"critical", "maintenance", "gone"}) {
+    const std::string kind = how;
+    const std::uint64_t answers = relay.counter("consul.answers");
+    agent.change("bank", [&](ConsulAgent::Hosts& hosts) {
+      if (kind == "gone") {
+        hosts.clear();
+      } else {
+        hosts.begin()->second.status = kind == "critical" ? "critical" : "passing";
+        hosts.begin()->second.maintenance = kind == "maintenance";
+      }
+    });
+    // Emptied without a drain: two answers, since the leader is asked once more.
+    ASSERT_TRUE(
+        happens([&] { return relay.counter("consul.answers") >= answers + (kind == "gone" ? 2 : 1); }));
+    ASSERT_EQ(offer("held-" + kind), 202u);
+    std::this_thread::sleep_for(milliseconds(300));
+    EXPECT_EQ(host.count("held-" + kind), 0u) << how;
+    agent.put("bank", host_at("b1", host.address()));
+    EXPECT_TRUE(happens([&] { return host.count("held-" + kind) == 1; })) << how << relay.log();
+  }
+}
+
+// A minute without Consul is the same as a second: deliveries go on, by the list as it was.
+TEST_F(Consul, TheLastGoodListStaysThroughEachTrouble) {
+  start("(answer-ms 500) (wait-ms 1000)");
+  int n = 0;
+  for (const Fault fault : {Fault::error_500, Fault::no_leader, Fault::forbidden_403, Fault::missing_404,
+                            Fault::too_many_429, Fault::redirect_301, Fault::garbage, Fault::wrong_type,
+                            Fault::cut, Fault::dribble, Fault::huge, Fault::no_index, Fault::silent}) {
+    const std::size_t queries = agent.queries();
+    const std::uint64_t errors = relay.counter("consul.errors");
+    agent.set_fault(fault);
+    if (fault == Fault::silent) {
+      ASSERT_TRUE(happens([&] { return agent.queries() > queries; })) << n;
+    } else {
+      ASSERT_TRUE(happens([&] { return relay.counter("consul.errors") > errors; })) << n << relay.log();
+    }
+    const std::string id = "during-" + std::to_string(n);
+    EXPECT_EQ(offer(id), 202u);
+    EXPECT_TRUE(happens([&] { return host.count(id) == 1; })) << n << relay.log();
+    agent.set_fault(Fault::none);
+    agent.close_connections();
+    // And a change made meanwhile is seen right after.
+    const std::string added = "n" + std::to_string(n++);
+    agent.put("bank", host_at(added, other.address(), 100 + n));
+    EXPECT_TRUE(happens([&] { return offer("new-" + added, "note", 100 + n) == 202; }))
+        << added << relay.log();
+  }
+  EXPECT_LT(relay.logged("consul: "), 60u) << relay.log();
+  EXPECT_TRUE(relay.runs());
+}
+
+// The list of an earlier life is all there is while Consul cannot be reached at a start.
+TEST_F(Consul, StartsByTheListItKeptWhereConsulIsAway) {
+  start();
+  ASSERT_EQ(offer("a1"), 202u);
+  ASSERT_TRUE(happens([&] { return relay.counter("consul.saves") >= 1; })) << relay.log();
+  EXPECT_EQ(relay.end(SIGKILL), -SIGKILL);
+  agent.set_fault(Fault::error_500);
+  relay.start();
+  EXPECT_EQ(relay.logged("1 hosts are known from an earlier life"), 1u) << relay.log();
+  EXPECT_EQ(offer("a2"), 202u);
+  EXPECT_TRUE(happens([&] { return host.count("a2") == 1; })) << relay.log();
+  EXPECT_EQ(offer("a3", "note", 8), 503u);  // may be too early to say that there is none
+  // Drained while it was away: the first answer says so.
+  agent.set_status("bank", "b1", "critical");
+  agent.set_fault(Fault::none);
+  ASSERT_TRUE(happens([&] { return relay.counter("consul.answers") >= 1; }));
+  ASSERT_EQ(offer("a4"), 202u);
+  std::this_thread::sleep_for(milliseconds(300));
+  EXPECT_EQ(host.count("a4"), 0u);
+}
+
+// Healthy by the catalogue, and refuses all: the module's rests decide, and passing shortens none of them.
+TEST_F(Consul, PassingDoesNotShortenARest) {
+  refuses = true;
+  start();
+  ASSERT_EQ(offer("a1"), 202u);
+  ASSERT_TRUE(happens([&] { return host.count("a1") >= 2; }));
+  const std::size_t before = host.count("a1");
+  const auto began = std::chrono::steady_clock::now();
+  for (int i = 0; i < 50; ++i) {
+    agent.set_status("bank", "b1", i % 2 == 0 ? "warning" : "passing");
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  // The linear wait of the design, 1.5 s times the attempts made, allows one more at most for each 1.5 s.
+  const auto passed = std::chrono::steady_clock::now() - began;
+  EXPECT_LE(host.count("a1"), before + 1 + static_cast<std::size_t>(passed / milliseconds(1500)));
+  refuses = false;
+  EXPECT_TRUE(happens([&] { return relay.counter("delivered") == 1; })) << relay.log();
+}
+
+// Indexes that go backwards: an older answer does not un-tell a drain, and the leader's word is taken.
+TEST_F(Consul, AnIndexThatGoesBackwardsIsAskedForAgain) {
+  start();
+  agent.set_status("bank", "b1", "critical");
+  ASSERT_TRUE(happens([&] { return relay.counter("consul.answers") >= 2; }));
+  agent.restart_index(3);
+  ASSERT_TRUE(happens([&] {
+    const auto served = agent.served();
+    return served.back().index == 3 && served.back().target.find("index=0") != std::string::npos;
+  }));
+  agent.set_status("bank", "b1", "passing");
+  EXPECT_EQ(offer("a1"), 202u);
+  EXPECT_TRUE(happens([&] { return host.count("a1") == 1; })) << relay.log();
+}
+
+TEST_F(Consul, SourcesChangeUnderLoadAndNoMessageIsLost) {
+  relay.replace_settings("(membership \"platform\")");
+  relay.start();
+  std::atomic<bool> done = false;
+  std::atomic<std::uint64_t> taken = 0;
+  std::thread load([&] {
+    for (int i = 0; !done; ++i) {
+      if (offer("m" + std::to_string(i), i % 2 == 0 ? "note" : "pay") == 202) ++taken;
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+  });
+  const auto moves_to = [&](const Server& server) {
+    const std::size_t before = server.requests().size();
+    EXPECT_TRUE(happens([&] { return server.requests().size() > before + 20; })) << relay.log();
+  };
+  moves_to(other);
+  settings(settings_text(agent.address()));
+  moves_to(host);
+  settings("(membership \"platform\")");
+  moves_to(other);
+  settings("(membership \"list\") (host (id \"x\") (address \"" + host.address() + "\") (destination 7))");
+  moves_to(host);
+  settings("(membership \"consul\")");  // cannot be used: nothing changes
+  EXPECT_TRUE(happens([&] { return relay.logged("the old configuration stays") == 1; })) << relay.log();
+  moves_to(host);
+  done = true;
+  load.join();
+  EXPECT_TRUE(happens([&] { return relay.counter("journal.held") == 0; })) << relay.log();
+  const std::uint64_t ended =
+      relay.counter("delivered") + relay.counter("deferred") + relay.counter("undeliverable");
+  EXPECT_EQ(ended, taken);
+  EXPECT_EQ(relay.counter("undeliverable"), 0u) << relay.log();
+  std::map<std::string, int> ids;
+  for (const Server* server : {&host, &other}) {
+    for (const Request& r : server->requests()) ++ids[r.id];
+  }
+  EXPECT_EQ(ids.size(), relay.counter("delivered"));
+  for (const auto& [id, count] : ids) EXPECT_EQ(count, 1) << id;
+}
+
+TEST_F(Consul, SendsItsTokenRereadsItAndNeverLogsIt) {
+  const std::string file = relay.state_folder() + "/token";
+  std::ofstream(file) << "s3cr3t-one\n";
+  start("(token-file \"" + file + "\")");
+  ASSERT_TRUE(happens([&] { return !agent.served().empty(); }));
+  EXPECT_EQ(agent.served().front().token, "s3cr3t-one");
+  std::ofstream(file) << "s3cr3t-two\n";
+  relay.signal(SIGHUP);
+  agent.set_status("bank", "b1", "warning");
+  EXPECT_TRUE(happens([&] { return agent.served().back().token == "s3cr3t-two"; })) << relay.log();
+  EXPECT_EQ(offer("a1"), 202u);
+  EXPECT_TRUE(happens([&] { return host.count("a1") == 1; }));
+  EXPECT_EQ(relay.logged("s3cr3t"), 0u);
+}
+
+// The relay itself: registered, passing once ready, and gone from the catalogue at SIGTERM. An agent that
+// fails harms nothing.
+TEST_F(Consul, RegistersItselfAndTakesItselfOut) {
+  start("(register (service \"relay\") (ttl-ms 1000))");
+  const auto put = [&](const std::string& target) {
+    const auto puts = agent.puts();
+    return std::any_of(puts.begin(), puts.end(), [&](const standin::Put& p) { return p.target == target; });
+  };
+  EXPECT_TRUE(happens([&] { return put("/v1/agent/check/pass/service:relay-n0"); })) << relay.log();
+  const std::string body = agent.puts().front().body;
+  EXPECT_NE(body.find("\"ID\":\"relay-n0\""), std::string::npos) << body;
+  EXPECT_NE(body.find("\"TTL\":\"1000ms\""), std::string::npos) << body;
+  agent.set_fault(Fault::error_500);
+  ASSERT_TRUE(happens([&] { return relay.logged("registration: status 500") == 1; })) << relay.log();
+  EXPECT_EQ(offer("a1"), 202u);
+  agent.set_fault(Fault::none);
+  ASSERT_TRUE(happens([&] { return relay.logged("registration: in place again") == 1; }));
+  EXPECT_FALSE(put("/v1/agent/service/deregister/relay-n0"));
+  EXPECT_EQ(relay.end(SIGTERM), 0);
+  EXPECT_TRUE(put("/v1/agent/service/deregister/relay-n0"));
+}
+
+// Without a platform: undelivered ends go to the log and a counter, and are over with that.
+TEST(Alone, ServesWithTheSettingsFileOnly) {
+  Server good([](const Request&) { return answer("200 OK"); });
+  Server bad([](const Request&) { return answer("500 Bad"); });
+  Program relay("127.0.0.1:1");
+  relay.replace_settings(
+      "(name \"alone\") (listen \"" + relay.address() + "\") (log (form \"json\"))\n" +
+          "(class (name \"note\") (effect \"free\") (aim-ms 2000) (give-up-ms 20000))\n" +
+          "(class (name \"pay\") (effect \"single_shot\") (aim-ms 2000) (give-up-ms 20000))\n" +
+          "(tenant (name \"south\"))\n(host (id \"a\") (address \"" + good.address() +
+          "\") (destination 7))\n(host (id \"b\") (address \"" + bad.address() + "\") (destination 8))",
+      false);
+  relay.start();
+  EXPECT_EQ(relay.ask(request_text("a1")), 202u);
+  EXPECT_TRUE(happens([&] { return good.count("a1") == 1; })) << relay.log();
+  std::string text = request_text("b1", "x", "pay");
+  EXPECT_EQ(relay.ask(text.replace(text.find("dest=7"), 6, "dest=8")), 202u);
+  EXPECT_TRUE(happens([&] {
+    return relay.logged("\"part\":\"undelivered\",\"msg\":\"b1: undeliverable\"") == 1;
+  })) << relay.log();
+  EXPECT_EQ(bad.count("b1"), 1u);
+  EXPECT_TRUE(happens([&] { return relay.counter("journal.held") == 0; })) << relay.log();
+  EXPECT_EQ(relay.counter("unnoticed"), 1u);
+  EXPECT_EQ(relay.end(SIGTERM), 0);
+}
+
+}  // namespace
+}  // namespace fennellane
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,120 @@
+// The operators' settings: what ships can be read, and what is wrong is said in one line with its place.
+#include <gtest/gtest.h>
+
+#include <fstream>
+
+#include "net_fixture.hpp"
+#include "settings_file.hpp"
+
+namespace fennellane {
+namespace {
+
+std::string shipped(const std::string& name) {
+  std::ifstream in(std::string(SOURCE_ROOT) + "/deploy/" + name);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+const std::string kLeast =
+    "(class (name \"note\") (effect \"free\") (aim-ms 2000) (give-up-ms 20000))\n"
+    "(tenant (name \"north\"))\n";
+const std::string kHost = "(host (id \"a\") (address \"127.0.0.1:1\") (destination 7))\n";
+
+TEST(Settings, TheShippedExamplesCanBeRead) {
+  const Config alone = apply_settings(shipped("example.sexp"), "example.sexp", std::nullopt);
+  EXPECT_FALSE(alone.platform);
+  EXPECT_EQ(alone.source, MembershipSource::list);
+  EXPECT_EQ(alone.known.hosts.size(), 3u);
+  EXPECT_TRUE(alone.known.whole);
+  EXPECT_EQ(alone.boot.classes, (std::vector<std::string>{"template-notice", "order-payment"}));
+  EXPECT_EQ(alone.boot.settings.classes[1].effect, starlinghook::Effect::unsafe);
+  EXPECT_EQ(alone.boot.settings.classes[1].deadline, std::chrono::seconds(16));
+  EXPECT_EQ(alone.boot.settings.slots, 16u);
+
+  const Config platform = parse_config(test::config_json());
+  const Config over = apply_settings(shipped("consul.sexp"), "consul.sexp", platform);
+  EXPECT_TRUE(over.platform);
+  EXPECT_EQ(over.name, "n0");
+  ASSERT_EQ(over.source, MembershipSource::consul);
+  EXPECT_EQ(over.consul->services.size(), 2u);
+  EXPECT_EQ(over.consul->services[1].tag, "live");
+  EXPECT_EQ(over.consul->wait, std::chrono::seconds(55));
+  // The example says what the defaults are.
+  const ConsulSettings defaults;
+  EXPECT_EQ(over.consul->wait, defaults.wait);
+  EXPECT_EQ(over.consul->queries_per_second, defaults.queries_per_second);
+  EXPECT_EQ(over.consul->membership.most_loss, defaults.membership.most_loss);
+  EXPECT_EQ(over.consul->membership.loss_hold, defaults.membership.loss_hold);
+  EXPECT_EQ(over.consul->membership.damping.most, defaults.membership.damping.most);
+}
+
+// With a list on the disk, both of its files and both of the journal's keep within the limit.
+TEST(Settings, TheListAndTheJournalShareTheDisk) {
+  const Config platform = parse_config(test::config_json());
+  const Config over = apply_settings(shipped("consul.sexp"), "consul.sexp", platform);
+  EXPECT_GT(over.limits.list_file, 0u);
+  EXPECT_LT(2 * over.limits.list_file + 2 * over.limits.journal_file, 3'000'000u);
+  EXPECT_EQ(platform.limits.list_file, 0u);
+}
+
+TEST(Settings, SaysWhatIsWrongAndWhere) {
+  const struct {
+    std::string text, message;
+  } cases[] = {
+      {"(nam \"x\")", "s:1: unknown name 'nam'; known here:"},
+      {"(limits\n (sokets 1))", "s:2: limits: unknown name 'sokets'; known here: disk-mb memory-mb sockets"},
+      {"(name \"x\"\n", "s:2: a parenthesis or a quote is not closed"},
+      {"(name \"x\"))\n(listen 1)", "a closing parenthesis too many"},
+      {"(name \"x\")\n; a comment (name\n(name \"y\")", "s:3: name: is there twice"},
+      {"name", "s:1: expected a list that begins with a name"},
+      {"(name)", "s:1: name: expected one value"},
+      {"(name \"a\" \"b\")", "s:1: name: expected one value"},
+      {"(name (a b))", "s:1: name: expected a string, not a list"},
+      {"(limits (sockets \"64\"))", "s:1: limits.sockets: expected an integer, not 64"},
+      {"(limits (sockets 64.5))", "s:1: limits.sockets: expected an integer, not 64.5"},
+      {"(limits (disk-mb 1e400))", "s:1: limits.disk-mb: expected a number, not 1e400"},
+      {"\n(limits\n(sockets 3))", "s:3: limits.sockets: "},
+      {kLeast + "(log (form \"xml\"))", "s:3: log.form: "},
+      {kLeast + kHost + "(host (id \"b\") (destination 7))", "s:4: host[1]: "},
+      {kLeast + kHost + kHost, "s:4: host[1].id: another host has this id: a"},
+      {kLeast + "(host (id \"b\") (address \"bank:80\") (destination 7))",
+       "s:3: host[0].address: expected a numeric address with a port, not bank:80"},
+      {kHost, "class: at least one class of message is needed"},
+      {kLeast, "host: at least one host is needed"},
+      {kLeast + "(membership \"platform\")", "s:3: membership: there is no platform"},
+      {kLeast + "(membership \"consul\")", "consul: is needed for membership consul"},
+      {kLeast + "(consul (address \"127.0.0.1:8500\"))", "s:3: consul: "},
+      {kLeast + "(consul (address \"127.0.0.1:8500\")\n(service (name \"a\"))\n(service (name \"a b\")))",
+       "s:5: consul.service[1].name: "},
+      {kLeast + kHost +
+           "(consul (address \"127.0.0.1:8500\")\n(service (name \"a\"))\n(service (name \"a\")))",
+       "s:6: consul.service[1].name: is watched twice: a"},
+      {kLeast + kHost +
+           "(consul (address \"127.0.0.1:8500\") (service (name \"a\"))\n(token-file \"/nowhere/token\"))",
+       "s:5: consul.token-file: cannot be read"},
+  };
+  for (const auto& c : cases) {
+    try {
+      apply_settings(c.text, "s", std::nullopt);
+      ADD_FAILURE() << "no fault in " << c.text;
+    } catch (const ConfigError& e) {
+      const std::string said = e.what();
+      EXPECT_NE(said.find(c.message), std::string::npos) << said << "\n" << c.text;
+      EXPECT_EQ(said.find('\n'), std::string::npos) << said;
+    }
+  }
+  EXPECT_THROW(apply_settings("(name \"x\")", "s", parse_config(test::config_json())), ConfigError);
+}
+
+TEST(Settings, OutlivesGarbage) {
+  const std::string good = shipped("example.sexp");
+  for (unsigned seed = 0; seed < 500; ++seed) {
+    std::mt19937 random(seed);
+    try {
+      apply_settings(test::garbage(good, random), "s", std::nullopt);
+    } catch (const ConfigError&) {
+    }
+  }
+}
+
+}  // namespace
+}  // namespace fennellane
--- /dev/null
+++ b/tools/standin/consul_agent.cpp
@@ -0,0 +1,315 @@
+#include "consul_agent.hpp"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+#include <cstdio>
+
+#include "http.hpp"
+#include "number.hpp"
+
+namespace fennellane::standin {
+namespace {
+
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+std::string quoted(const std::string& text) { return "\"" + text + "\""; }
+
+std::string parameter(const std::string& target, const std::string& name) {
+  for (std::size_t at = target.find('?'); at != std::string::npos; at = target.find('&', at + 1)) {
+    const std::string pair = target.substr(at + 1, target.find('&', at + 1) - at - 1);
+    if (pair.starts_with(name + "=")) return pair.substr(name.size() + 1);
+  }
+  return "";
+}
+
+std::string head(const std::string& status, std::size_t size, const std::string& more = "") {
+  return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\n" + more +
+         "Content-Length: " + std::to_string(size) + "\r\n\r\n";
+}
+
+}  // namespace
+
+std::string element_json(const std::string& service, const CatalogueHost& h) {
+  std::string meta;
+  for (const auto& [key, value] : h.meta) {
+    meta += (meta.empty() ? "" : ",") + quoted(key) + ":" + quoted(value);
+  }
+  char weights[80];
+  std::snprintf(weights, sizeof weights, "{\"Passing\":%g,\"Warning\":%g}", h.passing, h.warning);
+  std::string checks = R"({"Node":")" + h.node + R"(","CheckID":"serfHealth","Name":"Serf Health Status",)" +
+                       R"("Status":"passing","Output":"Agent alive and reachable","ServiceID":""},)" +
+                       R"({"Node":")" + h.node + R"(","CheckID":"service:)" + h.id +
+                       R"(","Name":"call","Status":")" + h.status +
+                       R"(","Output":"HTTP GET: {\"up\": [1,2]}","ServiceID":")" + h.id + R"("})";
+  if (h.maintenance) {
+    checks += R"(,{"Node":")" + h.node + R"(","CheckID":"_service_maintenance:)" + h.id +
+              R"(","Name":"Service Maintenance Mode","Status":"critical","ServiceID":")" + h.id + R"("})";
+  }
+  return R"({"Node":{"ID":"40e4a748-2192-161a-0510-9bf59fe950b5","Node":")" + h.node + R"(","Address":")" +
+         h.node_address + R"(","Datacenter":"dc1","Meta":{"rack":"7"}},"Service":{"ID":")" + h.id +
+         R"(","Service":")" + service + R"(","Tags":["live"],"Address":")" + h.address + R"(","Meta":{)" +
+         meta + R"(},"Port":)" + std::to_string(h.port) + R"(,"Weights":)" + weights +
+         R"(,"EnableTagOverride":false},"Checks":[)" + checks + "]}";
+}
+
+ConsulAgent::ConsulAgent() : acceptor_(io_, {asio::ip::make_address("127.0.0.1"), 0}) {
+  threads_.emplace_back([this] { accept(); });
+}
+
+ConsulAgent::~ConsulAgent() {
+  {
+    const std::scoped_lock lock(mutex_);
+    stopping_ = true;
+    for (const Socket& socket : sockets_) ::shutdown(socket->native_handle(), SHUT_RDWR);
+    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+  }
+  changed_.notify_all();
+  threads_[0].join();
+  for (std::size_t i = 1; i < threads_.size(); ++i) threads_[i].join();
+}
+
+std::string ConsulAgent::address() const {
+  return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+}
+
+void ConsulAgent::accept() {
+  while (true) {
+    asio::error_code error;
+    auto socket = std::make_shared<tcp::socket>(io_);
+    acceptor_.accept(*socket, error);
+    const std::scoped_lock lock(mutex_);
+    if (error || stopping_) return;
+    socket->set_option(tcp::no_delay(true), error);
+    sockets_.push_back(socket);
+    threads_.emplace_back([this, socket] { serve(socket); });
+  }
+}
+
+void ConsulAgent::serve(const Socket& socket) {
+  HttpReader reader(HttpReader::Kind::request, 65536, 1 << 20);
+  char piece[4096];
+  asio::error_code error;
+  const auto end = [&] {
+    const std::scoped_lock lock(mutex_);
+    ::shutdown(socket->native_handle(), SHUT_RDWR);
+    std::erase(sockets_, socket);
+  };
+  while (true) {
+    const std::size_t n = socket->read_some(asio::buffer(piece), error);
+    if (error) return end();
+    std::string_view text(piece, n);
+    while (!text.empty()) {
+      text.remove_prefix(reader.feed(text));
+      if (reader.failed()) return end();
+      if (!reader.done()) continue;
+      const std::string target = reader.target(), token(reader.header("x-consul-token").value_or(""));
+      const bool query = reader.method() == "GET";
+      const std::string body = reader.take_body();
+      reader.reset();
+      if (query) {
+        if (!answer_query(*socket, target, token)) return end();
+        continue;
+      }
+      bool healthy = false;
+      {
+        const std::scoped_lock lock(mutex_);
+        puts_.push_back({target, body, token});
+        healthy = fault_ == Fault::none;
+      }
+      asio::write(*socket, asio::buffer(head(healthy ? "200 OK" : "500 Internal Server Error", 0)), error);
+      if (error) return end();
+    }
+  }
+}
+
+std::string ConsulAgent::body_of(const std::string& service) const {
+  if (!body_.empty()) return body_;
+  std::string body = "[";
+  const auto it = services_.find(service);
+  if (it != services_.end()) {
+    for (const auto& [key, host] : it->second.hosts) {
+      if (body.size() > 1) body += ',';
+      body += element_json(service, host);
+    }
+  }
+  return body + "]";
+}
+
+// False: the connection is to end.
+bool ConsulAgent::answer_query(tcp::socket& socket, const std::string& target, const std::string& token) {
+  const std::string path = target.substr(0, target.find('?'));
+  const std::string service = path.substr(path.rfind('/') + 1);
+  const std::uint64_t seen = whole_number(parameter(target, "index"), UINT64_MAX).value_or(0);
+  std::string wait_text = parameter(target, "wait");
+  if (wait_text.ends_with("ms")) wait_text.resize(wait_text.size() - 2);
+  const milliseconds wait(static_cast<std::int64_t>(whole_number(wait_text, 600000).value_or(300000)));
+
+  std::unique_lock lock(mutex_);
+  ++queries_;
+  const auto due = [&] {
+    return stopping_ || fault_ != Fault::none || seen == 0 || services_[service].index != seen;
+  };
+  changed_.wait_for(lock, wait, due);
+  if (fault_ == Fault::silent) changed_.wait(lock, [&] { return stopping_ || fault_ != Fault::silent; });
+  if (stopping_) return false;
+  const Fault fault = fault_;
+  const std::uint64_t index = services_[service].index;
+  std::string status = "200 OK", body, headers;
+  switch (fault) {
+    case Fault::error_500:
+      status = "500 Internal Server Error";
+      body = "rpc error making call";
+      break;
+    case Fault::no_leader:
+      status = "500 Internal Server Error";
+      body = "No cluster leader";
+      break;
+    case Fault::forbidden_403:
+      status = "403 Forbidden";
+      body = "Permission denied";
+      break;
+    case Fault::missing_404:
+      status = "404 Not Found";
+      break;
+    case Fault::too_many_429:
+      status = "429 Too Many Requests";
+      headers = "Retry-After: 1\r\n";
+      break;
+    case Fault::redirect_301:
+      status = "301 Moved Permanently";
+      headers = "Location: http://127.0.0.1:1/\r\n";
+      break;
+    case Fault::garbage:
+      body = "<html>it works</html>";
+      break;
+    case Fault::wrong_type:
+      body = R"([{"Node":"n","Service":[],"Checks":{}}])";
+      break;
+    default:
+      body = body_of(service);
+  }
+  if (fault != Fault::no_index) {
+    headers += "X-Consul-Index: " + std::to_string(index) +
+               "\r\nX-Consul-KnownLeader: " + (leader_ ? "true" : "false") +
+               "\r\nX-Consul-LastContact: " + std::to_string(last_contact_ms_) + "\r\n";
+  }
+  lock.unlock();
+
+  asio::error_code error;
+  bool keep = true;
+  if (fault == Fault::huge) {
+    const std::string part = std::string(1 << 20, ' ');
+    asio::write(socket, asio::buffer(head(status, 60 << 20, headers) + "["), error);
+    for (int i = 0; i < 60 && !error; ++i) asio::write(socket, asio::buffer(part), error);
+    keep = false;
+  } else if (fault == Fault::cut) {
+    const std::string text = head(status, body.size(), headers) + body;
+    asio::write(socket, asio::buffer(text.data(), text.size() - body.size() / 2 - 1), error);
+    keep = false;
+  } else if (fault == Fault::dribble) {
+    const std::string text = head(status, body.size(), headers) + body;
+    for (std::size_t i = 0; i < text.size() && !error; ++i) {
+      asio::write(socket, asio::buffer(text.data() + i, 1), error);
+      std::unique_lock pause(mutex_);
+      if (changed_.wait_for(pause, milliseconds(20), [&] { return stopping_; })) return false;
+    }
+  } else {
+    const std::string text = head(status, body.size(), headers) + body;
+    asio::write(socket, asio::buffer(text), error);
+  }
+  const SteadyTime written = steady_clock::now();
+  lock.lock();
+  served_.push_back({service, target, token, static_cast<unsigned>(std::stoi(status)), index, written});
+  return keep && !error;
+}
+
+std::uint64_t ConsulAgent::change(const std::string& service, const std::function<void(Hosts&)>& change) {
+  std::uint64_t index = 0;
+  {
+    const std::scoped_lock lock(mutex_);
+    Service& s = services_[service];
+    change(s.hosts);
+    index = s.index = ++index_;
+  }
+  changed_.notify_all();
+  return index;
+}
+
+std::uint64_t ConsulAgent::put(const std::string& service, const CatalogueHost& host) {
+  return change(service, [&](Hosts& hosts) { hosts[host.node + "/" + host.id] = host; });
+}
+
+std::uint64_t ConsulAgent::set_status(const std::string& service, const std::string& id,
+                                      const std::string& status) {
+  return change(service, [&](Hosts& hosts) {
+    for (auto& [key, host] : hosts) {
+      if (host.id == id) host.status = status;
+    }
+  });
+}
+
+std::uint64_t ConsulAgent::remove(const std::string& service, const std::string& id) {
+  return change(
+      service, [&](Hosts& hosts) { std::erase_if(hosts, [&](const auto& h) { return h.second.id == id; }); });
+}
+
+void ConsulAgent::set_fault(Fault fault) {
+  {
+    const std::scoped_lock lock(mutex_);
+    fault_ = fault;
+  }
+  changed_.notify_all();
+}
+
+void ConsulAgent::set_leader(bool known) {
+  const std::scoped_lock lock(mutex_);
+  leader_ = known;
+}
+
+void ConsulAgent::set_last_contact(std::uint64_t ms) {
+  const std::scoped_lock lock(mutex_);
+  last_contact_ms_ = ms;
+}
+
+void ConsulAgent::restart_index(std::uint64_t index) {
+  {
+    const std::scoped_lock lock(mutex_);
+    index_ = index;
+    for (auto& [name, service] : services_) service.index = index;
+  }
+  changed_.notify_all();
+}
+
+void ConsulAgent::set_body(const std::string& body) {
+  {
+    const std::scoped_lock lock(mutex_);
+    body_ = body;
+    for (auto& [name, service] : services_) service.index = ++index_;
+  }
+  changed_.notify_all();
+}
+
+void ConsulAgent::close_connections() {
+  const std::scoped_lock lock(mutex_);
+  for (const Socket& socket : sockets_) ::shutdown(socket->native_handle(), SHUT_RDWR);
+}
+
+std::vector<Served> ConsulAgent::served() const {
+  const std::scoped_lock lock(mutex_);
+  return served_;
+}
+std::vector<Put> ConsulAgent::puts() const {
+  const std::scoped_lock lock(mutex_);
+  return puts_;
+}
+std::size_t ConsulAgent::queries() const {
+  const std::scoped_lock lock(mutex_);
+  return queries_;
+}
+
+}  // namespace fennellane::standin
--- /dev/null
+++ b/tools/standin/consul_agent.hpp
@@ -0,0 +1,123 @@
+// A stand-in for a Consul agent, written from the public API documentation, for loopback: health of services
+// with blocking queries, registration of a service, and faults by script. Not for use outside tests and
+// measurements.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace fennellane::standin {
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+struct CatalogueHost {
+  std::string node = "node-1";
+  std::string id;
+  std::string address = "127.0.0.1";
+  std::string node_address = "127.0.0.1";
+  int port = 0;
+  std::map<std::string, std::string> meta;
+  double passing = 1, warning = 1;
+  std::string status = "passing";
+  bool maintenance = false;
+};
+
+enum class Fault {
+  none,
+  silent,      // queries are read and not answered
+  cut,         // half an answer, then the end of the connection
+  dribble,     // one byte each 20 ms
+  garbage,     // 200 with a body that is no JSON
+  wrong_type,  // 200 with JSON of another shape
+  huge,        // 200 with 60 MB of one array
+  error_500,
+  forbidden_403,
+  missing_404,
+  too_many_429,
+  redirect_301,
+  no_leader,  // 500, as an agent says it
+  no_index    // 200 without X-Consul-Index
+};
+
+struct Served {  // one answer to a query on a service
+  std::string service;
+  std::string target;
+  std::string token;
+  unsigned status = 0;
+  std::uint64_t index = 0;
+  SteadyTime last_byte;  // just after it was written
+};
+struct Put {
+  std::string target, body, token;
+};
+
+class ConsulAgent {
+ public:
+  ConsulAgent();
+  ~ConsulAgent();
+  ConsulAgent(const ConsulAgent&) = delete;
+  ConsulAgent& operator=(const ConsulAgent&) = delete;
+
+  std::string address() const;
+
+  // One change of the catalogue: hosts of one service by node and id. All that `change` does is one index.
+  using Hosts = std::map<std::string, CatalogueHost>;
+  std::uint64_t change(const std::string& service, const std::function<void(Hosts&)>& change);
+  std::uint64_t put(const std::string& service, const CatalogueHost& host);
+  std::uint64_t set_status(const std::string& service, const std::string& id, const std::string& status);
+  std::uint64_t remove(const std::string& service, const std::string& id);
+
+  void set_fault(Fault fault);  // for every answer from now on, those that wait included
+  void set_leader(bool known);  // X-Consul-KnownLeader
+  void set_last_contact(std::uint64_t ms);
+  void restart_index(std::uint64_t index);  // as after a snapshot is restored
+  void set_body(const std::string& body);   // of every answer to a service query; empty = the catalogue's
+  void close_connections();
+
+  std::vector<Served> served() const;
+  std::vector<Put> puts() const;
+  std::size_t queries() const;  // read so far
+
+ private:
+  struct Service {
+    std::uint64_t index = 1;
+    Hosts hosts;
+  };
+  using Socket = std::shared_ptr<asio::ip::tcp::socket>;
+  void accept();
+  void serve(const Socket& socket);
+  bool answer_query(asio::ip::tcp::socket& socket, const std::string& target, const std::string& token);
+  std::string body_of(const std::string& service) const;
+
+  asio::io_context io_;
+  asio::ip::tcp::acceptor acceptor_;
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  std::map<std::string, Service> services_;
+  std::uint64_t index_ = 10;
+  Fault fault_ = Fault::none;
+  bool leader_ = true;
+  std::uint64_t last_contact_ms_ = 0;
+  std::string body_;
+  std::vector<Served> served_;
+  std::vector<Put> puts_;
+  std::size_t queries_ = 0;
+  bool stopping_ = false;
+  std::vector<Socket> sockets_;
+  std::vector<std::thread> threads_;
+};
+
+// One element of the answer, as the API describes it.
+std::string element_json(const std::string& service, const CatalogueHost& host);
+
+}  // namespace fennellane::standin
