--- a/src/consul/consul_watch.cpp
+++ b/src/consul/consul_watch.cpp
@@ -28,7 +28,7 @@
       on_answer_(std::move(on_answer)),
       reader_(settings, service, names, {limits.consul_answer, limits.consul_host, limits.consul_hosts}),
       plan_(settings, seed, limits.backoff_least, limits.backoff_most),
-      client_(io, settings.agent, limits, limits.body),
+      client_(io, settings.agent, limits, limits.consul_answer),
       pause_(io) {}
 
 void ConsulWatch::stop() {
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -11,6 +11,8 @@
 #include <sstream>
 
 #include "number.hpp"
+#include "schema_check.hpp"
+#include "schemas.hpp"
 #include "settings_file.hpp"
 
 namespace fennellane {
@@ -155,6 +157,11 @@
 Config parse_config(const std::string& json) {
   try {
     const Json::Value in = parse_json(json, "the configuration");
+    static const Json::Value schema = parse_json(kConfigSchema, "the schema");
+    if (const auto fault = schema_fault(in, schema)) {
+      throw ConfigError("the configuration: " + fault->path + (fault->path.empty() ? "" : ": ") +
+                        fault->what);
+    }
     Config config;
     config.name = text_of(in, "name");
     config.listen = numeric_address(text_of(in, "listen"));
--- a/src/settings/settings_file.hpp
+++ b/src/settings/settings_file.hpp
@@ -14,13 +14,6 @@
 // The schema that the program was built with.
 const Json::Value& settings_schema();
 
-// Checks `value` against a schema; returns the path of the first fault ("consul.service[0].name") and what is
-// wrong there, or nothing.
-struct SchemaFault {
-  std::string path, what;
-};
-std::optional<SchemaFault> schema_fault(const Json::Value& value, const Json::Value& schema);
-
 // What `text` says, over the platform's configuration or, without one, over the defaults. `path` names the
 // file in messages: "settings.sexp:12: consul.address: ...". Throws ConfigError.
 Config apply_settings(std::string_view text, const std::string& path, std::optional<Config> platform);
--- a/tests/consul_test.cpp
+++ b/tests/consul_test.cpp
@@ -258,14 +258,13 @@
 TEST(Alone, ServesWithTheSettingsFileOnly) {
   Server good([](const Request&) { return answer("200 OK"); });
   Server bad([](const Request&) { return answer("500 Bad"); });
-  Program relay("127.0.0.1:1");
+  standin::RelayProcess relay(FENNELLANE_PROGRAM);
   relay.replace_settings(
       "(name \"alone\") (listen \"" + relay.address() + "\") (log (form \"json\"))\n" +
-          "(class (name \"note\") (effect \"free\") (aim-ms 2000) (give-up-ms 20000))\n" +
-          "(class (name \"pay\") (effect \"single_shot\") (aim-ms 2000) (give-up-ms 20000))\n" +
-          "(tenant (name \"south\"))\n(host (id \"a\") (address \"" + good.address() +
-          "\") (destination 7))\n(host (id \"b\") (address \"" + bad.address() + "\") (destination 8))",
-      false);
+      "(class (name \"note\") (effect \"free\") (aim-ms 2000) (give-up-ms 20000))\n" +
+      "(class (name \"pay\") (effect \"single_shot\") (aim-ms 2000) (give-up-ms 20000))\n" +
+      "(tenant (name \"south\"))\n(host (id \"a\") (address \"" + good.address() +
+      "\") (destination 7))\n(host (id \"b\") (address \"" + bad.address() + "\") (destination 8))");
   relay.start();
   EXPECT_EQ(relay.ask(request_text("a1")), 202u);
   EXPECT_TRUE(happens([&] { return good.count("a1") == 1; })) << relay.log();
--- /dev/null
+++ b/tests/handover_test.cpp
@@ -0,0 +1,156 @@
+// The handover's messages and decisions, and its model explored within small bounds.
+#include "handover.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "frame.hpp"
+#include "handover_model.hpp"
+#include "net_fixture.hpp"
+
+namespace fennellane::handover {
+namespace {
+
+const std::vector<Message> kOneOfEach = {Offer{{3, 4}, 5},
+                                         Accept{},
+                                         Refuse{"a \"quoted\" line"},
+                                         State{std::string("\0\xff bytes", 8)},
+                                         StateEnd{8, ~0ull, 1ull << 40},
+                                         Ready{},
+                                         Go{6},
+                                         Taken{}};
+
+std::string joined(const std::vector<Message>& messages) {
+  std::string text;
+  for (const Message& m : messages) text += encode(m);
+  return text;
+}
+
+RC_GTEST_PROP(Frame, ComesAsItWentInAnyPieces, (const std::string& body)) {
+  std::vector<Message> sent = kOneOfEach;
+  sent.push_back(State{body});
+  sent.push_back(Refuse{"why"});
+  const std::string text = joined(sent);
+  std::mt19937 random(static_cast<unsigned>(body.size()));
+  FrameReader reader;
+  std::vector<Message> got;
+  for (const std::string_view piece : test::cut(text, random)) {
+    reader.feed(piece);
+    while (auto message = reader.next()) got.push_back(std::move(*message));
+  }
+  RC_ASSERT(got == sent);
+}
+
+// Whatever one byte is changed to, no message comes that was not sent.
+TEST(Frame, ADamagedByteIsFound) {
+  const std::string text = joined(kOneOfEach);
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    for (const int bit : {1, 0x40}) {
+      std::string damaged = text;
+      damaged[at] = static_cast<char>(damaged[at] ^ bit);
+      FrameReader reader;
+      reader.feed(damaged);
+      std::size_t n = 0;
+      try {
+        while (auto message = reader.next()) {
+          ASSERT_LT(n, kOneOfEach.size());
+          ASSERT_EQ(*message, kOneOfEach[n]) << at;
+          ++n;
+        }
+        ASSERT_LT(n, kOneOfEach.size()) << "byte " << at << " made no difference";
+      } catch (const FrameError&) {
+      }
+    }
+  }
+}
+
+template <class Wanted, class Effects>
+bool has(const Effects& effects) {
+  return std::any_of(effects.begin(), effects.end(),
+                     [](const auto& e) { return std::holds_alternative<Wanted>(e); });
+}
+
+TEST(OldSide, ServesOnWhereAnythingFailsBeforeTheFence) {
+  const Versions versions;
+  const std::vector<OldInput> way = {UpgradeAsked{}, Started{}, Received{Accept{}}, StateSent{},
+                                     Received{Ready{}}};
+  const std::vector<OldInput> troubles = {PeerDead{}, TimeDue{}, Spoilt{"noise"}, Received{Refuse{"no"}},
+                                          Received{Taken{}}};
+  for (std::size_t steps = 1; steps < way.size(); ++steps) {
+    for (const OldInput& trouble : troubles) {
+      OldSide side(versions, 7, Limits{});
+      for (std::size_t i = 0; i < steps; ++i) side.handle(Time(0), way[i]);
+      auto effects = side.handle(Time(0), trouble);
+      if (has<KillPeer>(effects)) {
+        EXPECT_FALSE(has<Thaw>(effects));  // not beside one that may still act
+        effects = side.handle(Time(0), PeerDead{});
+      }
+      EXPECT_EQ(has<Thaw>(effects), steps >= 3) << steps;
+      EXPECT_TRUE(side.serves());
+      EXPECT_EQ(side.step(), OldSide::Step::idle);
+      EXPECT_EQ(side.generation(), 7u);
+    }
+  }
+}
+
+TEST(OldSide, AfterTheFenceOnlyTheDeathOfOneThatDidNothingLeadsBack) {
+  for (const bool taken : {false, true}) {
+    OldSide side(Versions{}, 7, Limits{});
+    for (const OldInput& i : std::vector<OldInput>{UpgradeAsked{}, Started{}, Received{Accept{}}, StateSent{},
+                                                   Received{Ready{}}, Fenced{}}) {
+      side.handle(Time(0), i);
+    }
+    EXPECT_TRUE(has<KillPeer>(side.handle(Time(0), TimeDue{})));
+    EXPECT_TRUE(side.handle(Time(0), TimeDue{}).empty());
+    if (taken) side.handle(Time(0), Received{Taken{}});  // it had been on its way
+    const auto effects = side.handle(Time(0), PeerDead{});
+    EXPECT_EQ(has<StartAnew>(effects), taken);
+    EXPECT_EQ(has<WriteFence>(effects), !taken);
+    if (taken) continue;
+    EXPECT_FALSE(side.serves());
+    EXPECT_TRUE(has<Thaw>(side.handle(Time(0), Fenced{})));
+    EXPECT_EQ(side.generation(), 9u);
+  }
+}
+
+TEST(OldSide, TakesASecondUpgradeForNone) {
+  OldSide side(Versions{}, 1, Limits{});
+  EXPECT_TRUE(has<StartPeer>(side.handle(Time(0), UpgradeAsked{})));
+  EXPECT_FALSE(has<StartPeer>(side.handle(Time(0), UpgradeAsked{})));
+  EXPECT_EQ(side.step(), OldSide::Step::starting);
+}
+
+TEST(NewSide, RefusesWhatItDoesNotKnowAndTouchesNothing) {
+  for (const Offer& offer : {Offer{{2, 1}, 1}, Offer{{1, 2}, 1}, Offer{{0, 1}, 1}}) {
+    NewSide side(Versions{1, 1}, Limits{});
+    const auto effects = side.handle(Time(0), Received{offer});
+    EXPECT_TRUE(has<Exit>(effects));
+    ASSERT_TRUE(has<Send>(effects));
+    EXPECT_TRUE(std::holds_alternative<Refuse>(std::get<Send>(effects.front()).message));
+  }
+  NewSide side(Versions{}, Limits{});
+  side.handle(Time(0), Received{Offer{{}, 1}});
+  side.handle(Time(0), Checked{});
+  side.handle(Time(0), Received{State{"abc"}});
+  EXPECT_TRUE(has<Exit>(side.handle(Time(0), Received{StateEnd{4, 0, 0}})));  // a part is missing
+}
+
+// Every interleaving within these bounds; tools/check_handover explores wider ones.
+TEST(HandoverModel, KeepsEveryRule) {
+  const ModelResult result =
+      explore({.messages = 2, .upgrades = 2, .crashes = 2, .failures = 1, .timeouts = 1, .restarts = 2});
+  EXPECT_EQ(result.broken, "") << testing::PrintToString(result.trace);
+  EXPECT_TRUE(result.whole);
+  EXPECT_GT(result.states, 1000u);
+  EXPECT_GT(result.ends, 10u);
+}
+
+TEST(HandoverModel, FindsTheBugThatLeavesTheFenceOut) {
+  const ModelResult result =
+      explore({.messages = 1, .crashes = 1, .failures = 0, .timeouts = 0, .fence = false});
+  EXPECT_NE(result.broken, "");
+  EXPECT_GT(result.trace.size(), 5u);
+}
+
+}  // namespace
+}  // namespace fennellane::handover
--- /dev/null
+++ b/tools/standin/relay_process.cpp
@@ -0,0 +1,133 @@
+#include "relay_process.hpp"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "http.hpp"
+
+namespace fennellane::standin {
+
+using asio::ip::tcp;
+namespace fs = std::filesystem;
+
+bool happens(const std::function<bool()>& what, std::chrono::seconds limit) {
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (!what()) {
+    if (std::chrono::steady_clock::now() > end) return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return true;
+}
+
+RelayProcess::RelayProcess(std::string program) : program_(std::move(program)) {
+  std::string name = (fs::temp_directory_path() / "relay-XXXXXX").string();
+  if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder for the relay");
+  folder_ = name;
+  fs::create_directory(state_folder());
+  asio::io_context io;
+  tcp::acceptor free(io, {asio::ip::make_address("127.0.0.1"), 0});
+  port_ = free.local_endpoint().port();
+}
+
+RelayProcess::~RelayProcess() {
+  if (pid_ > 0) end(SIGKILL);
+  std::error_code ignored;
+  fs::remove_all(folder_, ignored);
+}
+
+void RelayProcess::replace(const std::string& name, const std::string& text) const {
+  std::ofstream(folder_ + "/new") << text;
+  fs::rename(folder_ + "/new", folder_ + "/" + name);
+}
+void RelayProcess::replace_config(const std::string& json) { replace("config.json", json); }
+void RelayProcess::replace_settings(const std::string& sexp) { replace("settings.sexp", sexp); }
+
+void RelayProcess::start() {
+  std::vector<std::string> variables = {"GW_STATE=" + state_folder()};
+  if (fs::exists(folder_ + "/config.json")) variables.push_back("GW_CONFIG=" + folder_ + "/config.json");
+  if (fs::exists(folder_ + "/settings.sexp"))
+    variables.push_back("GW_SETTINGS=" + folder_ + "/settings.sexp");
+  std::vector<char*> environment;
+  for (std::string& v : variables) environment.push_back(v.data());
+  environment.push_back(nullptr);
+  std::string program = program_, command = "serve";
+  char* const arguments[] = {program.data(), command.data(), nullptr};
+  posix_spawn_file_actions_t files;
+  posix_spawn_file_actions_init(&files);
+  posix_spawn_file_actions_addopen(&files, 2, (folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND,
+                                   0644);
+  const int error = posix_spawn(&pid_, program.c_str(), &files, nullptr, arguments, environment.data());
+  posix_spawn_file_actions_destroy(&files);
+  if (error != 0) throw std::runtime_error("cannot start " + program);
+  if (!happens([&] { return ask("GET /up HTTP/1.1\r\n\r\n") == 200; })) {
+    throw std::runtime_error("the relay does not become ready:\n" + log());
+  }
+}
+
+int RelayProcess::end(int signal) {
+  ::kill(pid_, signal);
+  int status = 0;
+  ::waitpid(std::exchange(pid_, 0), &status, 0);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+void RelayProcess::signal(int number) const { ::kill(pid_, number); }
+bool RelayProcess::runs() const { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
+
+std::string RelayProcess::log() const {
+  std::ifstream in(folder_ + "/log");
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+std::size_t RelayProcess::logged(const std::string& text) const {
+  const std::string all = log();
+  std::size_t n = 0;
+  for (std::size_t at = 0; (at = all.find(text, at)) != std::string::npos; at += text.size()) ++n;
+  return n;
+}
+
+std::uint64_t RelayProcess::counter(const std::string& name) const {
+  const std::size_t before = logged("counters clients");
+  signal(SIGUSR1);
+  happens([&] { return logged("counters clients") > before; });
+  const std::string all = log();
+  const std::size_t at = all.find(" " + name + "=", all.rfind("counters clients"));
+  return at == std::string::npos ? 0 : std::stoull(all.substr(at + name.size() + 2));
+}
+
+tcp::socket RelayProcess::connected(asio::io_context& io) const {
+  tcp::socket socket(io);
+  asio::error_code error;
+  socket.connect({asio::ip::make_address("127.0.0.1"), port_}, error);
+  return socket;
+}
+
+unsigned RelayProcess::ask(const std::string& text, bool end_sending) const {
+  asio::io_context io;
+  tcp::socket socket(io);
+  asio::error_code error;
+  socket.connect({asio::ip::make_address("127.0.0.1"), port_}, error);
+  if (!error) asio::write(socket, asio::buffer(text), error);
+  if (end_sending) socket.shutdown(tcp::socket::shutdown_send, error);
+  HttpReader reader(HttpReader::Kind::response, 65536, 65536);
+  char piece[4096];
+  while (!reader.done() && !reader.failed()) {
+    const std::size_t n = socket.read_some(asio::buffer(piece), error);
+    if (error) return 0;
+    reader.feed({piece, n});
+  }
+  return reader.status();
+}
+
+}  // namespace fennellane::standin
