--- a/include/starlinghook/delivery.hpp
+++ b/include/starlinghook/delivery.hpp
@@ -6,7 +6,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <stdexcept>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -185,6 +187,11 @@
 using Action =
     std::variant<Send, Refuse, Fail, Cancel, Probe, CloseIdle, SetTimer, WatchList, FetchList, LogLine>;
 
+class MemoryError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
 class Forwarder {
  public:
   explicit Forwarder(const Settings& settings);
@@ -200,6 +207,12 @@
   // How much it remembers: messages, calls, endpoints and keys.
   std::size_t records() const;
 
+  // All that it remembers, as bytes; of no use to another version.
+  std::string save() const;
+  // A forwarder that goes on exactly where the saved one stood. `settings` may differ where it does not
+  // matter to what is held. Throws MemoryError for bytes of another version, or that do not fit.
+  static Forwarder load(const Settings& settings, std::string_view bytes);
+
  private:
   class Policy;
   std::unique_ptr<Policy> policy_;
--- a/src/delivery_policy.cpp
+++ b/src/delivery_policy.cpp
@@ -177,6 +177,8 @@
     set_timer();
   }
 
+  template <class A>
+  void remember(A& archive);
   std::size_t records() const { return messages_.size() + calls_.size() + endpoints_.size() + keys_.size(); }
 
   void handle(Time now, const Event& event, std::vector<Action>& out) {
@@ -236,8 +238,7 @@
   }
 
   void on(const MessageDropped& e) {
-    auto it = messages_.find(e.id);
-    if (it != messages_.end()) end(it->second);
+    if (auto it = messages_.find(e.id); it != messages_.end()) end(it->second);
   }
 
   void on(const AttemptEnded& e) {
@@ -673,9 +674,8 @@
       }
       const Destination& d = destinations_.at(e.entry.destination);
       open = std::max(open, budget_gate(r.health, r.rate, d.waiting.size()));
-      const auto siblings = static_cast<double>(d.endpoints.size());
-      open = std::max(
-          open, budget_gate(e.health, r.rate / (routes_apart(e.entry) ? 1 : siblings), d.waiting.size()));
+      const double siblings = routes_apart(e.entry) ? 1 : static_cast<double>(d.endpoints.size());
+      open = std::max(open, budget_gate(e.health, r.rate / siblings, d.waiting.size()));
       if (stalled(e)) open = std::max(open, *e.out.rbegin() + stall_time(r));
       if (pins_slots(e) && sick_in_flight() >= share_of(s_.slots, kSickShare)) return kNever;
       open = std::max({open, next_token(r), r.turn});
@@ -991,8 +991,7 @@
   void answer(Message& m, const Destination& d) {
     bool may_refuse = !m.may_have_run || m.rules->effect == Effect::safe ||
                       (m.rules->effect == Effect::keyed && m.rules->key_scope == KeyScope::all);
-    if (may_refuse) act(Refuse{m.facts.id, return_after(d)});
-    if (!may_refuse) act(Fail{m.facts.id});
+    may_refuse ? act(Refuse{m.facts.id, return_after(d)}) : act(Fail{m.facts.id});
     end(m);
   }
 
@@ -1076,3 +1075,5 @@
 }
 
 }  // namespace starlinghook
+
+#include "delivery_memory.hpp"
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -1,6 +1,7 @@
 #include "journal.hpp"
 
 #include <fcntl.h>
+#include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
 #include <zlib.h>
@@ -8,20 +9,24 @@
 #include <cerrno>
 #include <cstdio>
 #include <cstring>
+#include <thread>
 #include <type_traits>
 #include <utility>
 
 namespace fennellane {
 namespace {
 
+// Version 2 has fences, and is told from the first one, so that a program that knows none leaves it alone.
 constexpr std::string_view kMagic = "fennellane journal 1\n";
+constexpr std::string_view kFencedMagic = "fennellane journal 2\n";
+constexpr off_t kVersionAt = 19;
 constexpr const char* kName = "journal";
 constexpr const char* kNewName = "journal.new";
 constexpr std::size_t kFrame = 8;                 // length and checksum
 constexpr std::size_t kMostRecord = 1024 * 1024;  // far over any record that is written
 constexpr std::uint64_t kLaterRecords = 128;      // room kept for what a held message still writes
 
-enum class Kind : std::uint8_t { entry = 1, started = 2, outcome = 3, given_up = 4, ended = 5 };
+enum class Kind : std::uint8_t { entry = 1, started = 2, outcome = 3, given_up = 4, ended = 5, fence = 6 };
 
 class Writer {
  public:
@@ -155,14 +160,30 @@
 
 }  // namespace
 
-Journal::Journal(std::string folder, std::uint64_t most_bytes)
-    : folder_(std::move(folder)), most_bytes_(most_bytes) {
-  ::unlink(path(kNewName).c_str());  // of a compaction that a crash cut short
-  file_ = FileDescriptor(::open(path(kName).c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0644));
+FileDescriptor lock_journal(const std::string& folder, Time wait) {
+  FileDescriptor lock(::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+  if (lock.get() < 0) fail("cannot open " + folder);
+  const auto end = std::chrono::steady_clock::now() + wait;
+  while (::flock(lock.get(), LOCK_EX | LOCK_NB) != 0) {
+    if (errno != EWOULDBLOCK && errno != EINTR) fail("cannot lock " + folder);
+    if (std::chrono::steady_clock::now() >= end) throw JournalError(folder + " is another process's");
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  return lock;
+}
+
+Journal::Journal(std::string folder, std::uint64_t most_bytes, Access access)
+    : folder_(std::move(folder)), most_bytes_(most_bytes), owned_(access == Access::owns) {
+  if (owned_) ::unlink(path(kNewName).c_str());  // of a compaction that a crash cut short
+  const int create = owned_ ? O_CREAT : 0;
+  file_ = FileDescriptor(::open(path(kName).c_str(), O_RDWR | create | O_APPEND | O_CLOEXEC, 0644));
   if (file_.get() < 0) fail("cannot open " + path(kName));
   const std::string text = read_all(file_.get(), path(kName));
   const std::string_view start = std::string_view(text).substr(0, kMagic.size());
-  if (start != kMagic.substr(0, start.size())) throw JournalError(path(kName) + " is no journal");
+  if (start != kMagic.substr(0, start.size()) && start != kFencedMagic) {
+    throw JournalError(path(kName) + " is no journal that this program knows");
+  }
+  if (start.size() < kMagic.size() && !owned_) throw JournalError(path(kName) + " is not whole");
   if (start.size() < kMagic.size()) {
     if (::ftruncate(file_.get(), 0) != 0) fail("cannot cut " + path(kName));
     write_all(file_.get(), kMagic, path(kName));
@@ -185,7 +206,7 @@
   }
   size_ = at;
   cut_bytes_ = text.size() - at;
-  if (cut_bytes_ > 0 && ::ftruncate(file_.get(), static_cast<off_t>(at)) != 0)
+  if (cut_bytes_ > 0 && owned_ && ::ftruncate(file_.get(), static_cast<off_t>(at)) != 0)
     fail("cannot cut " + path(kName));
 }
 
@@ -194,6 +215,10 @@
   Reader r(payload);
   const Kind kind{r.get<std::uint8_t>()};
   const auto stream = r.get<std::uint64_t>();
+  if (kind == Kind::fence) {
+    generation_ = stream;
+    return r.whole();
+  }
   next_ = std::max(next_, stream + 1);
   if (kind == Kind::entry) {
     JournalEntry entry = read_entry(r);
@@ -242,7 +267,47 @@
   return live + entry <= most_bytes_ / 4 * 3;
 }
 
+// Guards against a process that has been fenced off and does not know it: an owner knows its file to the
+// byte, and one that has grown, or is no longer the one in the folder, is another's.
+void Journal::check_owned() const {
+  struct stat found {};
+  if (!owned_ || ::fstat(file_.get(), &found) != 0 || found.st_nlink == 0 ||
+      static_cast<std::uint64_t>(found.st_size) != size_) {
+    throw JournalError("the journal has another owner");
+  }
+}
+
+void Journal::fence(Generation to) {
+  // The version first: a crash between the two leaves a journal that only a program with fences reads.
+  const FileDescriptor plain(::open(path(kName).c_str(), O_WRONLY | O_CLOEXEC));
+  if (plain.get() < 0 || ::pwrite(plain.get(), &kFencedMagic[kVersionAt], 1, kVersionAt) != 1) {
+    fail("cannot write " + path(kName));
+  }
+  append(Writer(Kind::fence, to).text());
+  owned_ = false;
+}
+
+void Journal::claim(Generation generation) {
+  if (owned_) throw JournalError("the journal is owned already");
+  Journal found(folder_, most_bytes_, Access::observes);
+  const bool fenced = found.generation_ == generation;
+  if (!fenced && found.generation_ + 1 != generation) throw JournalError("the journal has another owner");
+  // Guards against a state that is older than the journal: its owner must have been frozen since.
+  const std::uint64_t fence =
+      found.generation_ == generation_ ? 0 : framed(Writer(Kind::fence, 0).text()).size();
+  if (found.cut_bytes_ > 0 || found.size_ != size_ + fence)
+    throw JournalError("the journal has gone on since");
+  file_ = std::move(found.file_);
+  size_ = found.size_;
+  generation_ = found.generation_;
+  owned_ = true;
+  if (fenced) return;
+  this->fence(generation);
+  owned_ = true;
+}
+
 void Journal::append(const std::string& payload) {
+  check_owned();
   const std::string record = framed(payload);
   if (size_ + record.size() > most_bytes_) compact();
   if (size_ + record.size() > most_bytes_) throw JournalError("the journal is full");
@@ -253,7 +318,8 @@
 }
 
 void Journal::compact() {
-  std::string text(kMagic);
+  std::string text(generation_ > 1 ? kFencedMagic : kMagic);
+  if (generation_ > 1) text += framed(Writer(Kind::fence, generation_).text());
   for (const auto& [stream, entry] : held_) text += framed(entry_payload(stream, entry));
   FileDescriptor file(
       ::open(path(kNewName).c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0644));
--- a/src/journal/journal.hpp
+++ b/src/journal/journal.hpp
@@ -1,5 +1,9 @@
 // What the relay has taken on and not yet ended, in a file that outlasts the process.
 //
+// It has one owner at any moment. Whoever opens it holds a lock on the folder, which a process that is
+// started beside it does not get. Within a handover, where both processes share the lock, a fence record
+// names the owner's generation, and an owner that finds the file other than it left it can't append.
+//
 // Records are only appended, each with its length and checksum. A torn tail, as a crash leaves it, is cut.
 // When the file is full, what is still held is written to a second file that then takes the first one's name,
 // so a crash at any moment leaves one whole journal.
@@ -21,16 +25,34 @@
   using std::runtime_error::runtime_error;
 };
 
+using Generation = std::uint64_t;  // of the journal's owner; the first is 1
+
+// The lock on the folder: held while the descriptor, or a copy of it in another process, is open. Waits for
+// it for so long; throws JournalError if another process has it then.
+FileDescriptor lock_journal(const std::string& folder, Time wait);
+
 class Journal {
  public:
   // Opens the journal in the folder, reads what it holds and cuts a torn tail. Throws JournalError.
-  Journal(std::string folder, std::uint64_t most_bytes);
+  // An observer writes nothing, not even a cut, until `claim`.
+  enum class Access { owns, observes };
+  Journal(std::string folder, std::uint64_t most_bytes, Access access = Access::owns);
 
   const std::map<StreamId, JournalEntry>& held() const { return held_; }
   StreamId next_stream() const { return next_; }
   // Whether a message can be taken on so that its later records, and a compaction, fit as well.
   bool has_room(std::size_t id_size, std::size_t body_size) const;
 
+  // The last record of this owner: from it on only the owner of that generation can append. Throws
+  // JournalError if it cannot be written; this one owns the journal still.
+  void fence(Generation to);
+  // An observer, or an owner that has fenced itself off, becomes the owner: the newest fence names this
+  // generation, or the one before, whose owner is known to be dead and is fenced off first. Throws
+  // JournalError otherwise, and if the file holds anything but that fence that this one has not seen.
+  void claim(Generation generation);
+  Generation generation() const { return generation_; }  // that the newest fence names
+  bool owned() const { return owned_; }
+
   void taken(StreamId stream, JournalEntry entry);
   void attempt_started(StreamId stream, WallTime now, std::uint32_t zone);
   void attempt_ended(StreamId stream, bool may_have_run);
@@ -44,6 +66,7 @@
 
  private:
   void append(const std::string& payload);
+  void check_owned() const;
   bool apply(std::string_view payload);
   void replay(std::string_view text);
   void compact();
@@ -51,6 +74,8 @@
 
   std::string folder_;
   std::uint64_t most_bytes_;
+  Generation generation_ = 1;
+  bool owned_ = false;
   FileDescriptor file_;
   std::uint64_t size_ = 0;
   std::uint64_t live_ = 0;  // bytes that a compaction would write
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -23,6 +23,7 @@
       present_(config_),
       io_(1),
       log_(config_.name, config_.log),
+      lock_(lock_journal(state_folder, config_.limits.lock_wait)),
       journal_(state_folder, config_.limits.journal_file),
       reducer_(config_.boot.settings, config_.limits, journal_.next_stream(), counters_),
       upstream_(io_, config_, counters_, [this](const CallEnded& ended) { input(ended); }),
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -65,6 +65,7 @@
   asio::io_context io_;
   Log log_;
   Counters counters_;
+  const FileDescriptor lock_;  // on the state folder
   Journal journal_;
   Reducer reducer_;
   Upstream upstream_;
--- a/tests/consul_test.cpp
+++ b/tests/consul_test.cpp
@@ -96,9 +96,10 @@
 TEST_F(Consul, TheLastGoodListStaysThroughEachTrouble) {
   start("(answer-ms 500) (wait-ms 1000)");
   int n = 0;
-  for (const Fault fault : {Fault::error_500, Fault::no_leader, Fault::forbidden_403, Fault::missing_404,
-                            Fault::too_many_429, Fault::redirect_301, Fault::garbage, Fault::wrong_type,
-                            Fault::cut, Fault::dribble, Fault::huge, Fault::no_index, Fault::silent}) {
+  for (const Fault fault :
+       {Fault::error_500, Fault::no_leader, Fault::forbidden_403, Fault::missing_404, Fault::too_many_429,
+        Fault::redirect_301, Fault::garbage, Fault::wrong_type, Fault::cut, Fault::dribble, Fault::bad_chunk,
+        Fault::huge, Fault::no_index, Fault::silent}) {
     const std::size_t queries = agent.queries();
     const std::uint64_t errors = relay.counter("consul.errors");
     agent.set_fault(fault);
@@ -177,6 +178,57 @@
   EXPECT_TRUE(happens([&] { return host.count("a1") == 1; })) << relay.log();
 }
 
+// Changes of the catalogue and faults of the agent, drawn from a seed, in one another's way: once the agent
+// is well again, the relay has what the catalogue says.
+TEST_F(Consul, ComesToTheCatalogueAfterAnySeriesOfFaults) {
+  start("(wait-ms 1000) (answer-ms 300) (damping (suppress 1000) (reuse 1))");
+  std::mt19937 random(20261201);
+  const std::vector<Fault> faults = {Fault::error_500, Fault::cut,     Fault::garbage,   Fault::silent,
+                                     Fault::no_leader, Fault::chunked, Fault::bad_chunk, Fault::dribble,
+                                     Fault::no_index,  Fault::none,    Fault::none};
+  constexpr std::size_t kHosts = 4;
+  std::vector<std::string> states(kHosts, "gone");
+  std::uint64_t lowest = 1000000;
+  for (int step = 0; step < 80; ++step) {
+    const std::size_t i = random() % kHosts;
+    const std::string id = "h" + std::to_string(i);
+    CatalogueHost h = host_at(id, host.address(), 20 + static_cast<int>(i));
+    const char* const kinds[] = {"passing", "critical", "warning", "gone"};
+    states[i] = h.status = kinds[random() % 4];
+    if (states[i] == "gone") {
+      agent.remove("bank", id);
+    } else {
+      agent.put("bank", h);
+    }
+    if (random() % 4 == 0) agent.set_fault(faults[random() % faults.size()]);
+    if (random() % 8 == 0) agent.close_connections();
+    if (random() % 16 == 0) agent.restart_index(lowest -= 1000);
+    agent.set_leader(random() % 8 != 0);
+    std::this_thread::sleep_for(milliseconds(random() % 30));
+  }
+  agent.set_fault(Fault::none);
+  agent.set_leader(true);
+  agent.close_connections();
+  agent.put("bank", host_at("last", host.address(), 30));
+  // What the last change brings tells that all before it is known as well.
+  ASSERT_TRUE(happens([&] { return offer("to-last", "note", 30) == 202; })) << relay.log();
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    const std::string id = "to-h" + std::to_string(i);
+    const bool works = states[i] == "passing" || states[i] == "warning";
+    const bool taken = offer(id, "note", 20 + static_cast<int>(i)) == 202;
+    EXPECT_TRUE(taken || !works) << i << relay.log();
+    if (!works) continue;
+    EXPECT_TRUE(happens([&] { return host.count(id) == 1; })) << i << relay.log();
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    if (states[i] == "critical" || states[i] == "gone") {
+      EXPECT_EQ(host.count("to-h" + std::to_string(i)), 0u) << i;
+    }
+  }
+  EXPECT_TRUE(relay.runs());
+}
+
 TEST_F(Consul, SourcesChangeUnderLoadAndNoMessageIsLost) {
   relay.replace_settings("(membership \"platform\")");
   relay.start();
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -175,5 +175,79 @@
   EXPECT_TRUE(j.has_room(2, 1000));
 }
 
+// --- One owner
+class Owners : public testing::Test {
+ protected:
+  Folder home;
+  const std::string folder = home.path();
+};
+constexpr std::uint64_t kRoomy = 100000;
+
+TEST_F(Owners, AFenceEndsOneAndBeginsTheNext) {
+  Journal old(folder, kRoomy);
+  old.taken(1, entry("a"));
+  Journal next(folder, kRoomy, Journal::Access::observes);
+  EXPECT_THROW(next.taken(2, entry("b")), JournalError);  // an observer writes nothing
+  EXPECT_THROW(next.claim(3), JournalError);              // nor becomes just any owner
+  old.fence(2);
+  EXPECT_FALSE(old.owned());
+  EXPECT_THROW(old.taken(2, entry("b")), JournalError);
+  next.claim(2);
+  next.taken(2, entry("b"));
+  EXPECT_THROW(old.ended(1), JournalError);
+  EXPECT_THROW(old.claim(3), JournalError);  // the next one has gone on: what this one knows is old
+  const Journal read(folder, kRoomy);
+  EXPECT_EQ(read.generation(), 2u);
+  EXPECT_EQ(read.held().size(), 2u);
+}
+
+TEST_F(Owners, TheOldOneTakesItBackWhereTheNextDidNothing) {
+  Journal old(folder, kRoomy);
+  old.taken(1, entry("a"));
+  old.fence(2);
+  old.claim(3);
+  old.ended(1);
+  const Journal read(folder, kRoomy);
+  EXPECT_EQ(read.generation(), 3u);
+  EXPECT_TRUE(read.held().empty());
+}
+
+// The old one died frozen: the next one fences it off itself, if it has seen all there is.
+TEST_F(Owners, TheNextOneClaimsWhatADeadOneLeft) {
+  Journal old(folder, kRoomy);
+  old.taken(1, entry("a"));
+  Journal next(folder, kRoomy, Journal::Access::observes);
+  Journal late(folder, kRoomy, Journal::Access::observes);
+  next.claim(2);
+  next.taken(2, entry("b"));
+  EXPECT_THROW(old.taken(2, entry("b")),
+               JournalError);  // not dead after all, and fenced off: it can't append
+  EXPECT_THROW(late.claim(2), JournalError);
+}
+
+// A fence outlasts a compaction, and one that was fenced off finds even a file that was replaced to be
+// another's.
+TEST_F(Owners, ACompactionKeepsTheFence) {
+  Journal old(folder, 4000);
+  for (StreamId s = 1; s <= 3; ++s) old.taken(s, entry("m" + std::to_string(s)));
+  Journal next(folder, 4000, Journal::Access::observes);
+  old.fence(2);
+  next.claim(2);
+  for (int i = 0; i < 200; ++i) {
+    next.attempt_started(1, WallTime(0), 0);
+    next.attempt_ended(1, false);
+  }
+  EXPECT_GT(next.compactions(), 0u);
+  EXPECT_THROW(old.ended(1), JournalError);
+  EXPECT_EQ(Journal(folder, 4000).generation(), 2u);
+}
+
+TEST_F(Owners, ASecondProcessDoesNotGetTheLock) {
+  const FileDescriptor first = lock_journal(folder, Time(0));
+  EXPECT_THROW(lock_journal(folder, std::chrono::milliseconds(30)), JournalError);
+  const FileDescriptor copy(::dup(first.get()));  // as a handover gives it on
+  EXPECT_THROW(lock_journal(folder, Time(0)), JournalError);
+}
+
 }  // namespace
 }  // namespace fennellane
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -269,6 +269,22 @@
   EXPECT_EQ(p.condition("bank/node-1/b@1"), "draining");
 }
 
+TEST(Membership, HalfOfAThousandsHostsUnreadableHarmNoneOfTheOthers) {
+  Pipeline p;
+  std::vector<CatalogueHost> hosts;
+  for (int i = 0; i < 5000; ++i) hosts.push_back(catalogue_host("h" + std::to_string(i), i / 4));
+  p.take(0, hosts);
+  for (std::size_t i = 0; i < hosts.size(); i += 2) hosts[i].port = -1;
+  hosts[1].status = "critical";
+  const MembershipChange change = p.take(0, hosts);
+  EXPECT_TRUE(change.lines.empty());
+  EXPECT_EQ(p.readers[0]->unusable(), 2500u);
+  EXPECT_LE(p.readers[0]->complaint().size(), 200u);
+  EXPECT_EQ(p.listed.size(), 5000u);
+  EXPECT_EQ(p.condition("bank/node-1/h1@0"), "draining");
+  EXPECT_EQ(p.condition("bank/node-1/h2@0"), "ready");
+}
+
 TEST(Membership, ALossWithoutADrainWaitsForTheLeadersSecondWord) {
   ConsulSettings settings = consul_settings();
   settings.membership.most_loss = 0.5;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -2,6 +2,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
+#include <optional>
+#include <random>
 #include <set>
 #include <string>
 
@@ -96,6 +99,19 @@
   }
   Time last_send() const { return sent.back().second; }
 
+  // What it has noted, with a forwarder that knows nothing yet.
+  Bench(const Bench& other)
+      : now(other.now),
+        forwarder(Settings(settings())),
+        timers(other.timers),
+        sent(other.sent),
+        refused(other.refused),
+        failed(other.failed),
+        cancelled(other.cancelled),
+        logged(other.logged),
+        closed(other.closed) {}
+  Bench& operator=(Bench&&) = default;
+
   Time now = seconds(1000);
   Forwarder forwarder;
   std::vector<Action> actions, last;
@@ -399,6 +415,32 @@
   EXPECT_LE(most_in_any_span(b, cold_from, s.overload_time), 12u + 8u);
 }
 
+// A drain that is taken back, as by a health check: the endpoint may be cold, and gets the cold budget.
+TEST(ReturningDestination, AnEndpointBackFromADrainCountsAsCold) {
+  const Settings s = settings();
+  for (const bool drained : {false, true}) {
+    Bench b(s, {{1, 7, 0, 0, 100, Condition::ready}});
+    warm_up(b, 1, 20);
+    if (drained) {
+      b.give(ListChanged{false, false, {{1, 7, 0, 0, 100, Condition::draining}}});
+      b.give(ListChanged{false, false, {{1, 7, 0, 0, 100, Condition::ready}}});
+    }
+    const std::size_t before = b.sent.size();
+    for (MessageId id = 1000; id < 1300; ++id) {
+      b.message(id);
+      if (b.sends_of(id) > 0) b.outcome(id, Outcome::delivered);
+      b.advance(milliseconds(10));
+    }
+    // In 3 s a destination of 100 calls a second takes some 300, and a cold one 2 x 0.2 to 0.44 x 100 x 3 s.
+    if (drained) {
+      EXPECT_LE(b.sent.size() - before, 300u * 2 * 44 / 100);
+    }
+    if (!drained) {
+      EXPECT_GE(b.sent.size() - before, 280u);
+    }
+  }
+}
+
 TEST(DestinationMemory, OneStrayErrorDoesNotCloseADestination) {
   Bench b(settings());
   warm_up(b, 100, 8);
@@ -1073,6 +1115,120 @@
 }
 
 // Guards the memory of a long life: endpoints that are gone and keys that are over are forgotten.
+// A forwarder that is loaded goes on exactly as the saved one does: the same events bring the same actions,
+// through refusals with and without waits, failures, drains, restarts of the timer and messages in every
+// state.
+TEST(Memory, ALoadedForwarderActsAsTheSavedOne) {
+  std::size_t compared = 0;
+  for (unsigned seed = 0; seed < 60; ++seed) {
+    std::mt19937 random(seed);
+    Settings s = settings();
+    s.forwarders = 1 + seed % 3;
+    s.seed = seed;
+    s.classes.push_back(s.classes[0]);
+    s.classes[1].effect = Effect::unsafe;
+    s.classes[0].sequential = seed % 2 == 0;
+    Bench one(s, {{1, 7, 0, 0, 40, Condition::ready},
+                  {2, 7, 0, 0, 40, Condition::ready},
+                  {3, 8, 0, 2, 9, Condition::ready}});
+    std::optional<Bench> other;
+    const auto both = [&](const auto& what) {
+      what(one);
+      if (other) what(*other);
+    };
+    std::vector<std::pair<MessageId, std::uint32_t>> out;  // calls, by message and attempt
+    std::map<MessageId, std::uint32_t> attempts;
+    std::map<std::pair<MessageId, std::uint32_t>, EndpointId> at;
+    std::size_t noted = 0;
+    const unsigned change_over = 50 + random() % 200;
+    for (unsigned step = 0; step < 400; ++step) {
+      if (step == change_over) {
+        other = Bench(one);
+        other->forwarder = Forwarder::load(s, one.forwarder.save());
+      }
+      const unsigned kind = random() % 10;
+      if (kind < 4) {
+        const MessageId id = step + 1;
+        const std::uint32_t message_class = random() % 2;
+        const DestinationId destination = 7 + random() % 2;
+        const std::uint64_t key = random() % 5;
+        both([&](Bench& b) { b.message(id, seconds(20), message_class, key, destination); });
+      } else if (kind < 8 && !out.empty()) {
+        const std::size_t i = random() % out.size();
+        const auto [id, attempt] = out[i];
+        out.erase(out.begin() + static_cast<std::ptrdiff_t>(i));
+        const Outcome outcomes[] = {Outcome::delivered, Outcome::delivered, Outcome::full,
+                                    Outcome::timeout,   Outcome::reset,     Outcome::connect_failed};
+        const Outcome outcome = outcomes[random() % 6];
+        const Time wait =
+            outcome == Outcome::full && random() % 2 == 0 ? milliseconds(random() % 4000) : Time(0);
+        const EndpointId endpoint = at.at({id, attempt});
+        both([&, id = id, attempt = attempt](Bench& b) {
+          b.give(AttemptEnded{id,
+                              attempt,
+                              endpoint,
+                              outcome,
+                              outcome == Outcome::delivered,
+                              wait,
+                              false,
+                              {},
+                              false,
+                              Time(0)});
+        });
+      } else if (kind == 8) {
+        const EndpointId id = 1 + random() % 3;
+        const Condition condition = random() % 3 == 0 ? Condition::draining : Condition::ready;
+        const DestinationId destination = id == 3 ? 8 : 7;
+        both([&](Bench& b) {
+          b.give(ListChanged{false, false, {{id, destination, 0, id == 3 ? 2u : 0u, 40, condition}}});
+        });
+      } else {
+        const Time span = milliseconds(random() % 800);
+        both([&](Bench& b) { b.advance(span); });
+      }
+      for (; noted < one.sent.size(); ++noted) {
+        const Send& send = one.sent[noted].first;
+        out.emplace_back(send.id, attempts[send.id]++);
+        at[out.back()] = send.endpoint;
+      }
+      if (!other) continue;
+      ++compared;
+      ASSERT_EQ(one.sent.size(), other->sent.size()) << seed << " " << step;
+      for (std::size_t i = 0; i < one.sent.size(); ++i) {
+        ASSERT_EQ(one.sent[i].first.id, other->sent[i].first.id);
+        ASSERT_EQ(one.sent[i].first.endpoint, other->sent[i].first.endpoint);
+        ASSERT_EQ(one.sent[i].first.timeout, other->sent[i].first.timeout);
+        ASSERT_EQ(one.sent[i].second, other->sent[i].second);
+      }
+      ASSERT_EQ(one.timers, other->timers) << seed << " " << step;
+      ASSERT_EQ(one.failed, other->failed);
+      ASSERT_EQ(one.cancelled, other->cancelled);
+      ASSERT_EQ(one.closed, other->closed);
+      ASSERT_EQ(one.refused.size(), other->refused.size());
+      ASSERT_EQ(one.forwarder.records(), other->forwarder.records());
+    }
+  }
+  EXPECT_GT(compared, 5000u);
+}
+
+TEST(Memory, RefusesWhatItCannotRead) {
+  const Settings s = settings();
+  Bench b(s);
+  b.message(1);
+  const std::string bytes = b.forwarder.save();
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    EXPECT_THROW(Forwarder::load(s, std::string_view(bytes).substr(0, size)), MemoryError) << size;
+  }
+  std::string other = bytes;
+  other[0] = static_cast<char>(other[0] + 1);  // its version
+  EXPECT_THROW(Forwarder::load(s, other), MemoryError);
+  Bench c(s);
+  c.give(MessageArrived{1, 0, 0, 7, 0, seconds(9)});
+  Settings fewer = s;
+  fewer.classes.clear();
+  EXPECT_THROW(Forwarder::load(fewer, c.forwarder.save()), MemoryError);
+}
+
 TEST(LongLife, ForgetsWhatIsOver) {
   Settings s = settings();
   s.classes[0].sequential = true;
--- a/tools/standin/consul_agent.cpp
+++ b/tools/standin/consul_agent.cpp
@@ -218,6 +218,19 @@
       std::unique_lock pause(mutex_);
       if (changed_.wait_for(pause, milliseconds(20), [&] { return stopping_; })) return false;
     }
+  } else if (fault == Fault::chunked || fault == Fault::bad_chunk) {
+    std::string text = "HTTP/1.1 " + status + "\r\n" + headers + "Transfer-Encoding: chunked\r\n\r\n";
+    std::size_t size = 1;
+    for (std::size_t at = 0; at < body.size(); at += size) {
+      size = size * 5 % 23 + 1;
+      const std::string piece = body.substr(at, size);
+      char length[20];
+      std::snprintf(length, sizeof length, "%zx", piece.size());
+      const bool bad = fault == Fault::bad_chunk && at > body.size() / 2;
+      text += std::string(bad ? "xyz" : length) + "\r\n" + piece + "\r\n";
+    }
+    asio::write(socket, asio::buffer(text + "0\r\n\r\n"), error);
+    keep = fault == Fault::chunked;
   } else {
     const std::string text = head(status, body.size(), headers) + body;
     asio::write(socket, asio::buffer(text), error);
--- a/tools/standin/consul_agent.hpp
+++ b/tools/standin/consul_agent.hpp
@@ -46,6 +46,8 @@
   too_many_429,
   redirect_301,
   no_leader,  // 500, as an agent says it
+  chunked,    // the good answer, in chunks of odd sizes
+  bad_chunk,  // the same, with a chunk whose size is no number
   no_index    // 200 without X-Consul-Index
 };
 
