Let the stand-ins share one threaded server

Need: the stand-in agent, the stand-in partner and the tests' server each had the same accepting and stopping code.

Change: tools/standin/threaded_server; who serves only reads and answers.

--- a/tests/relay_fixture.hpp
+++ b/tests/relay_fixture.hpp
@@ -16,6 +16,7 @@
 #include "http.hpp"
 #include "net_fixture.hpp"
 #include "relay_process.hpp"
+#include "threaded_server.hpp"
 
 namespace fennellane::test {
 
@@ -38,34 +39,10 @@
  public:
   using Handler = std::function<std::string(const Request&)>;
   explicit Server(Handler handler)
-      : handler_(std::move(handler)), acceptor_(io_, {asio::ip::make_address("127.0.0.1"), 0}) {
-    port_ = acceptor_.local_endpoint().port();
-    threads_.emplace_back([this] {
-      while (true) {
-        asio::error_code error;
-        auto socket = std::make_shared<tcp::socket>(io_);
-        acceptor_.accept(*socket, error);
-        const std::scoped_lock lock(mutex_);
-        if (error || stopping_) return;
-        sockets_.push_back(socket);
-        threads_.emplace_back([this, socket] { serve(*socket); });
-      }
-    });
-  }
-  ~Server() {
-    {
-      const std::scoped_lock lock(mutex_);
-      stopping_ = true;
-      for (const auto& socket : sockets_) ::shutdown(socket->native_handle(), SHUT_RDWR);
-      ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
-    }
-    threads_[0].join();
-    for (std::size_t i = 1; i < threads_.size(); ++i) threads_[i].join();
-  }
-  Server(const Server&) = delete;
-  Server& operator=(const Server&) = delete;
+      : handler_(std::move(handler)),
+        server_([this](const standin::ThreadedServer::Socket& socket) { serve(*socket); }) {}
 
-  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  std::string address() const { return server_.address(); }
   std::vector<Request> requests() const {
     const std::scoped_lock lock(mutex_);
     return requests_;
@@ -109,14 +86,9 @@
   }
 
   Handler handler_;
-  asio::io_context io_;
-  tcp::acceptor acceptor_;
-  std::uint16_t port_ = 0;
   mutable std::mutex mutex_;
-  std::vector<std::shared_ptr<tcp::socket>> sockets_;
   std::vector<Request> requests_;
-  std::vector<std::thread> threads_;
-  bool stopping_ = false;
+  standin::ThreadedServer server_;  // last, since its threads use all the others
 };
 
 inline std::string answer(const std::string& status, const std::string& body = "",
--- a/tools/standin/consul_agent.cpp
+++ b/tools/standin/consul_agent.cpp
@@ -1,7 +1,5 @@
 #include "consul_agent.hpp"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
@@ -57,62 +55,35 @@
          R"(,"EnableTagOverride":false},"Checks":[)" + checks + "]}";
 }
 
-ConsulAgent::ConsulAgent() : acceptor_(io_, {asio::ip::make_address("127.0.0.1"), 0}) {
-  threads_.emplace_back([this] { accept(); });
-}
+ConsulAgent::ConsulAgent() : server_([this](const ThreadedServer::Socket& socket) { serve(socket); }) {}
 
 ConsulAgent::~ConsulAgent() {
   {
     const std::scoped_lock lock(mutex_);
     stopping_ = true;
-    for (const Socket& socket : sockets_) ::shutdown(socket->native_handle(), SHUT_RDWR);
-    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
   }
   changed_.notify_all();
-  threads_[0].join();
-  for (std::size_t i = 1; i < threads_.size(); ++i) threads_[i].join();
-}
-
-std::string ConsulAgent::address() const {
-  return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
-}
-
-void ConsulAgent::accept() {
-  while (true) {
-    asio::error_code error;
-    auto socket = std::make_shared<tcp::socket>(io_);
-    acceptor_.accept(*socket, error);
-    const std::scoped_lock lock(mutex_);
-    if (error || stopping_) return;
-    socket->set_option(tcp::no_delay(true), error);
-    sockets_.push_back(socket);
-    threads_.emplace_back([this, socket] { serve(socket); });
-  }
+  server_.stop();
 }
 
-void ConsulAgent::serve(const Socket& socket) {
+void ConsulAgent::serve(const ThreadedServer::Socket& socket) {
   HttpReader reader(HttpReader::Kind::request, 65536, 1 << 20);
   char piece[4096];
   asio::error_code error;
-  const auto end = [&] {
-    const std::scoped_lock lock(mutex_);
-    ::shutdown(socket->native_handle(), SHUT_RDWR);
-    std::erase(sockets_, socket);
-  };
   while (true) {
     const std::size_t n = socket->read_some(asio::buffer(piece), error);
-    if (error) return end();
+    if (error) return;
     std::string_view text(piece, n);
     while (!text.empty()) {
       text.remove_prefix(reader.feed(text));
-      if (reader.failed()) return end();
+      if (reader.failed()) return;
       if (!reader.done()) continue;
       const std::string target = reader.target(), token(reader.header("x-consul-token").value_or(""));
       const bool query = reader.method() == "GET";
       const std::string body = reader.take_body();
       reader.reset();
       if (query) {
-        if (!answer_query(*socket, target, token)) return end();
+        if (!answer_query(*socket, target, token)) return;
         continue;
       }
       bool healthy = false;
@@ -122,7 +93,7 @@
         healthy = fault_ == Fault::none;
       }
       asio::write(*socket, asio::buffer(head(healthy ? "200 OK" : "500 Internal Server Error", 0)), error);
-      if (error) return end();
+      if (error) return;
     }
   }
 }
@@ -307,11 +278,6 @@
   changed_.notify_all();
 }
 
-void ConsulAgent::close_connections() {
-  const std::scoped_lock lock(mutex_);
-  for (const Socket& socket : sockets_) ::shutdown(socket->native_handle(), SHUT_RDWR);
-}
-
 std::vector<Served> ConsulAgent::served() const {
   const std::scoped_lock lock(mutex_);
   return served_;
--- a/tools/standin/consul_agent.hpp
+++ b/tools/standin/consul_agent.hpp
@@ -3,19 +3,18 @@
 // measurements.
 #pragma once
 
-#include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
+#include "threaded_server.hpp"
+
 namespace fennellane::standin {
 
 using SteadyTime = std::chrono::steady_clock::time_point;
@@ -70,7 +69,7 @@
   ConsulAgent(const ConsulAgent&) = delete;
   ConsulAgent& operator=(const ConsulAgent&) = delete;
 
-  std::string address() const;
+  std::string address() const { return server_.address(); }
 
   // One change of the catalogue: hosts of one service by node and id. All that `change` does is one index.
   using Hosts = std::map<std::string, CatalogueHost>;
@@ -84,7 +83,7 @@
   void set_last_contact(std::uint64_t ms);
   void restart_index(std::uint64_t index);  // as after a snapshot is restored
   void set_body(const std::string& body);   // of every answer to a service query; empty = the catalogue's
-  void close_connections();
+  void close_connections() { server_.close_connections(); }
 
   std::vector<Served> served() const;
   std::vector<Put> puts() const;
@@ -95,14 +94,10 @@
     std::uint64_t index = 1;
     Hosts hosts;
   };
-  using Socket = std::shared_ptr<asio::ip::tcp::socket>;
-  void accept();
-  void serve(const Socket& socket);
+  void serve(const ThreadedServer::Socket& socket);
   bool answer_query(asio::ip::tcp::socket& socket, const std::string& target, const std::string& token);
   std::string body_of(const std::string& service) const;
 
-  asio::io_context io_;
-  asio::ip::tcp::acceptor acceptor_;
   mutable std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, Service> services_;
@@ -115,8 +110,7 @@
   std::vector<Put> puts_;
   std::size_t queries_ = 0;
   bool stopping_ = false;
-  std::vector<Socket> sockets_;
-  std::vector<std::thread> threads_;
+  ThreadedServer server_;  // last, since its threads use all the others
 };
 
 // One element of the answer, as the API describes it.
--- a/tools/standin/partner.cpp
+++ b/tools/standin/partner.cpp
@@ -1,7 +1,5 @@
 #include "partner.hpp"
 
-#include <sys/socket.h>
-
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 
@@ -9,23 +7,17 @@
 
 namespace fennellane::standin {
 
-using asio::ip::tcp;
-
 Partner::Partner(std::chrono::milliseconds answers_after)
-    : answers_after_(answers_after), acceptor_(io_, {asio::ip::make_address("127.0.0.1"), 0}) {
-  threads_.emplace_back([this] { accept(); });
-}
+    : answers_after_(answers_after),
+      server_([this](const ThreadedServer::Socket& socket) { serve(socket); }) {}
 
 Partner::~Partner() {
   {
     const std::scoped_lock lock(mutex_);
     stopping_ = true;
-    for (const Socket& socket : sockets_) ::shutdown(socket->native_handle(), SHUT_RDWR);
-    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
   }
   stopped_.notify_all();
-  threads_[0].join();
-  for (std::size_t i = 1; i < threads_.size(); ++i) threads_[i].join();
+  server_.stop();
 }
 
 std::vector<PartnerCall> Partner::calls() const {
@@ -33,20 +25,7 @@
   return calls_;
 }
 
-void Partner::accept() {
-  while (true) {
-    asio::error_code error;
-    auto socket = std::make_shared<tcp::socket>(io_);
-    acceptor_.accept(*socket, error);
-    const std::scoped_lock lock(mutex_);
-    if (error || stopping_) return;
-    socket->set_option(tcp::no_delay(true), error);
-    sockets_.push_back(socket);
-    threads_.emplace_back([this, socket] { serve(socket); });
-  }
-}
-
-void Partner::serve(const Socket& socket) {
+void Partner::serve(const ThreadedServer::Socket& socket) {
   HttpReader reader(HttpReader::Kind::request, 65536, 1 << 20);
   char piece[4096];
   asio::error_code error;
--- a/tools/standin/partner.hpp
+++ b/tools/standin/partner.hpp
@@ -2,17 +2,15 @@
 // keeps when the first byte of each came.
 #pragma once
 
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
-#include <memory>
 #include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
+#include "threaded_server.hpp"
+
 namespace fennellane::standin {
 
 struct PartnerCall {
@@ -27,23 +25,18 @@
   Partner(const Partner&) = delete;
   Partner& operator=(const Partner&) = delete;
 
-  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  std::uint16_t port() const { return server_.port(); }
   std::vector<PartnerCall> calls() const;
 
  private:
-  using Socket = std::shared_ptr<asio::ip::tcp::socket>;
-  void accept();
-  void serve(const Socket& socket);
+  void serve(const ThreadedServer::Socket& socket);
 
   const std::chrono::milliseconds answers_after_;
-  asio::io_context io_;
-  asio::ip::tcp::acceptor acceptor_;
   mutable std::mutex mutex_;
   std::condition_variable stopped_;
   bool stopping_ = false;
   std::vector<PartnerCall> calls_;
-  std::vector<Socket> sockets_;
-  std::vector<std::thread> threads_;
+  ThreadedServer server_;  // last, since its threads use all the others
 };
 
 }  // namespace fennellane::standin
