--- a/src/consul/answer_reader.cpp
+++ b/src/consul/answer_reader.cpp
@@ -11,6 +11,7 @@
 #include <unordered_set>
 
 #include "config.hpp"
+#include "names.hpp"
 #include "number.hpp"
 
 namespace fennellane {
@@ -83,10 +84,6 @@
   return value.asDouble();
 }
 
-std::uint32_t position(const std::vector<std::string>& names, const std::string& name) {
-  return static_cast<std::uint32_t>(std::find(names.begin(), names.end(), name) - names.begin());
-}
-
 }  // namespace
 
 void ArraySplitter::reset() {
@@ -239,8 +236,8 @@
       }
     }
     const std::string zone = told(settings_.meta.zone), kind = told(settings_.meta.kind);
-    i.zone = position(names_.zones, zone.empty() ? of.zone : zone);
-    i.kind = position(names_.kinds, kind.empty() ? of.kind : kind);
+    i.zone = position_of(names_.zones, zone.empty() ? of.zone : zone);
+    i.kind = position_of(names_.kinds, kind.empty() ? of.kind : kind);
   } catch (const AnswerError& e) {
     i.usable = false;
     complain(i.id, e.what());
--- a/src/consul/consul_source.cpp
+++ b/src/consul/consul_source.cpp
@@ -3,13 +3,13 @@
 #include <algorithm>
 #include <asio/co_spawn.hpp>
 
+#include "clock.hpp"
+
 namespace fennellane {
 namespace {
 
 using std::chrono::steady_clock;
 
-Time now() { return std::chrono::duration_cast<Time>(steady_clock::now().time_since_epoch()); }
-
 }  // namespace
 
 ConsulSource::ConsulSource(asio::io_context& io, const ConsulSettings& settings, ConsulPlace place,
@@ -33,10 +33,8 @@
         [this](const ServiceAnswer& answer) { return take(answer); }));
   }
   if (settings_.registration) {
-    ConsulSettings mine = settings_;
-    if (mine.registration->port == 0) mine.registration->port = place_.port;
     registration_ = std::make_shared<Registration>(
-        io, std::move(mine), settings_.registration->service + "-" + place_.relay, limits, counters, log);
+        io, settings_, settings_.registration->service + "-" + place_.relay, limits, counters, log);
   }
   if (before != nullptr) copy(*before);
 }
@@ -93,7 +91,7 @@
 }
 
 bool ConsulSource::take(const ServiceAnswer& answer) {
-  MembershipChange change = membership_.take(now(), answer);
+  MembershipChange change = membership_.take(steady_now(), answer);
   const bool ask_again = change.ask_again;
   if (!answer.changed.empty() || !answer.gone.empty()) save_later();
   tell(std::move(change));
@@ -118,7 +116,7 @@
   due_.expires_at(steady_clock::time_point(std::chrono::duration_cast<steady_clock::duration>(next)));
   due_.async_wait([weak = weak_from_this()](asio::error_code error) {
     const auto self = weak.lock();
-    if (!error && self && !self->stopped_) self->tell(self->membership_.tick(now()));
+    if (!error && self && !self->stopped_) self->tell(self->membership_.tick(steady_now()));
   });
 }
 
--- a/src/consul/consul_source.hpp
+++ b/src/consul/consul_source.hpp
@@ -20,9 +20,8 @@
 
 namespace fennellane {
 
-struct ConsulPlace {       // what the relay gives to each of its sources
-  std::string relay;       // its name
-  std::uint16_t port = 0;  // that it listens on
+struct ConsulPlace {  // what the relay gives to each of its sources
+  std::string relay;  // its name
   std::uint64_t seed = 0;
   NamePositions names;
   std::string state_folder;
@@ -40,8 +39,6 @@
   void leave() override;
   void set_ready() override;
 
-  MembershipFigures figures() const { return membership_.figures(); }
-
  private:
   bool take(const ServiceAnswer& answer);  // whether it is wanted once more
   void tell(MembershipChange change);
--- a/src/consul/consul_watch.cpp
+++ b/src/consul/consul_watch.cpp
@@ -4,6 +4,7 @@
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 
+#include "clock.hpp"
 #include "number.hpp"
 
 namespace fennellane {
@@ -12,8 +13,6 @@
 using std::chrono::steady_clock;
 constexpr std::uint64_t kMostMs = 1000ull * 60 * 60 * 24;
 
-Time now() { return std::chrono::duration_cast<Time>(steady_clock::now().time_since_epoch()); }
-
 }  // namespace
 
 ConsulWatch::ConsulWatch(asio::io_context& io, const ConsulSettings& settings, std::uint32_t service,
@@ -155,7 +154,7 @@
 
 asio::awaitable<void> ConsulWatch::run() {
   while (!stopped_) {
-    co_await rest(budget_.take(now()) - now());
+    co_await rest(budget_.take(steady_now()) - steady_now());
     if (stopped_) break;
     trouble_.clear();
     const bool good = co_await ask();
--- a/src/consul/list_store.cpp
+++ b/src/consul/list_store.cpp
@@ -15,6 +15,7 @@
 
 #include "config.hpp"
 #include "descriptor.hpp"
+#include "names.hpp"
 
 namespace fennellane {
 namespace {
@@ -30,9 +31,6 @@
 std::string name_at(const std::vector<std::string>& names, std::uint32_t position) {
   return position < names.size() ? names[position] : "";
 }
-std::uint32_t position(const std::vector<std::string>& names, const std::string& name) {
-  return static_cast<std::uint32_t>(std::find(names.begin(), names.end(), name) - names.begin());
-}
 std::string failure(const char* what) { return std::string(what) + ": " + std::strerror(errno); }
 
 std::string compress(const std::string& text) {
@@ -136,8 +134,8 @@
       Instance i;
       i.id = in["id"].asString();
       i.address = numeric_address(in["address"].asString());
-      i.zone = position(names.zones, in["zone"].asString());
-      i.kind = position(names.kinds, in["kind"].asString());
+      i.zone = position_of(names.zones, in["zone"].asString());
+      i.kind = position_of(names.kinds, in["kind"].asString());
       i.destination = std::min(in["destination"].asUInt(), 65535u);
       i.rate = in["rate"].asDouble();
       i.weight_passing = in["passing"].asDouble();
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -4,6 +4,8 @@
 #include <csignal>
 #include <utility>
 
+#include "clock.hpp"
+
 namespace fennellane {
 namespace {
 
@@ -11,7 +13,6 @@
 using std::chrono::steady_clock;
 using std::chrono::system_clock;
 
-Time steady_now() { return duration_cast<Time>(steady_clock::now().time_since_epoch()); }
 WallTime wall_now() { return duration_cast<WallTime>(system_clock::now().time_since_epoch()); }
 
 }  // namespace
@@ -20,7 +21,7 @@
     : config_(std::move(config)),
       reread_(std::move(reread)),
       state_folder_(state_folder),
-      present_(config_),
+      discovery_address_(config_.discovery),
       io_(1),
       log_(config_.name, config_.log),
       lock_(lock_journal(state_folder, config_.limits.lock_wait)),
@@ -147,13 +148,10 @@
       return take_list(wanted.known, false);
     case MembershipSource::consul:
       log_("membership", "from Consul, at " + wanted.consul->agent.text());
-      consul_ = std::make_shared<ConsulSource>(io_, *wanted.consul,
-                                               ConsulPlace{config_.name,
-                                                           config_.listen.port,
-                                                           wanted.seed,
-                                                           {config_.boot.zones, config_.boot.kinds},
-                                                           state_folder_},
-                                               config_.limits, counters_, log_, on_list, before.get());
+      consul_ = std::make_shared<ConsulSource>(
+          io_, *wanted.consul,
+          ConsulPlace{config_.name, wanted.seed, {config_.boot.zones, config_.boot.kinds}, state_folder_},
+          config_.limits, counters_, log_, on_list, before.get());
       if (ready_) consul_->set_ready();
       consul_->start();
   }
@@ -168,16 +166,15 @@
       log_("reload", part + " has changed and needs a restart; the old one stays");
     }
     ++counters_.reloads;
-    const bool moved = wanted.discovery.text() != present_.discovery.text();
+    const bool moved = wanted.discovery != discovery_address_;
+    discovery_address_ = wanted.discovery;
     if (config_.platform && moved) notices_.redirect(wanted.discovery);
     if (wanted.source == MembershipSource::platform && discovery_) {
-      present_ = wanted;
       if (!moved) return log_("reload", "discovery has not moved");
       log_("reload", "discovery is at " + wanted.discovery.text());
       return discovery_->redirect(wanted.discovery);
     }
     take_source(wanted);
-    present_ = wanted;
   } catch (const ConfigError& e) {
     log_("reload", std::string("the old configuration stays: ") + e.what());
   }
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -61,7 +61,7 @@
   const Config config_;
   const std::function<Config()> reread_;
   const std::string state_folder_;
-  Config present_;  // as last reread; of what only a restart changes, config_ holds
+  Address discovery_address_;  // as last reread
   asio::io_context io_;
   Log log_;
   Counters counters_;
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <sstream>
 
+#include "names.hpp"
 #include "number.hpp"
 #include "schema_check.hpp"
 #include "schemas.hpp"
@@ -91,11 +92,6 @@
   }
 }
 
-std::uint32_t position(const std::vector<std::string>& names, const Json::Value& name) {
-  const auto it = std::find(names.begin(), names.end(), plain(name));
-  return static_cast<std::uint32_t>(it - names.begin());
-}
-
 HostList read_hosts(const Json::Value& in, const wire::BootInfo& boot) {
   HostList list;
   list.version = static_cast<std::uint64_t>(number_of(in, "version", 0, 1e15));
@@ -115,8 +111,8 @@
       throw ConfigError("a host's state is unknown: " + state);
     }
     host.address = parse_address(text_of(line, "addr"));
-    host.zone = position(boot.zones, line["zone"]);
-    host.kind = position(boot.kinds, line["kind"]);
+    host.zone = position_of(boot.zones, plain(line["zone"]));
+    host.kind = position_of(boot.kinds, plain(line["kind"]));
     host.destination = static_cast<std::uint32_t>(number_of(line, "cell", 0, 65535));
     host.rate = boot.rates_told ? number_of(line, "weight", 0, 1e9) : 0;
     list.hosts.push_back(std::move(host));
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <sstream>
 
+#include "names.hpp"
 #include "schema_check.hpp"
 #include "schemas.hpp"
 #include "sexp.hpp"
@@ -63,9 +64,6 @@
   for (const Json::Value& name : names) text += (text.empty() ? "" : ",") + name.asString();
   return text;
 }
-std::uint32_t position(const std::vector<std::string>& names, const std::string& name) {
-  return static_cast<std::uint32_t>(std::find(names.begin(), names.end(), name) - names.begin());
-}
 
 // The settings that the platform would give, in its own names and units, from the operators' ones.
 wire::SettingsMap module_settings(const File& file) {
@@ -141,8 +139,8 @@
     if (!ids.insert(host.id).second) file.fail(at + ".id", "another host has this id: " + host.id);
     host.address = file.address(in[i]["address"], at + ".address");
     host.destination = in[i]["destination"].asUInt();
-    host.zone = position(boot.zones, text_of(in[i], "zone"));
-    host.kind = position(boot.kinds, text_of(in[i], "kind"));
+    host.zone = position_of(boot.zones, text_of(in[i], "zone"));
+    host.kind = position_of(boot.kinds, text_of(in[i], "kind"));
     host.rate = number_of(in[i], "rate", 0);
     list.hosts.push_back(std::move(host));
   }
