Wait for sockets first and use them in handlers, so that members say what a socket has seen

Need: a process that takes over another's connections must know what each socket has read and written. An asynchronous write, connect or accept that is under way has done so by itself, and says it only when its handler runs. Change: sessions and upstream connections wait for a socket and then accept, connect, write and read in the handler. Ends that may not come before the call's start returns are kept as members and carried out in the next turn, no longer in closures alone.

--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -74,6 +74,9 @@
   return offer;
 }
 
+// No operation that is under way reads, writes or accepts by itself: a socket is waited for, and used in a
+// handler. So between two handlers the members say what the socket has seen, and another process can go on
+// with both.
 class Downstream::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(Downstream& owner, tcp::socket socket, ReplyTo number)
@@ -126,12 +129,7 @@
     const bool close = closing_ || owner_.sending_away_ || !request_.done() || !request_.keep_alive();
     closing_ = close;
     out_.append(answer_text(status, close, more_headers));
-    asio::error_code error;
-    if (writing_) return;
-    const std::string_view data = out_.data();
-    const std::size_t n = socket_.write_some(asio::buffer(data.data(), data.size()), error);
-    out_.consume(n);
-    if (error && error != asio::error::would_block) broken_ = true;
+    if (!writing_) write_out();
   }
 
   // No more is written; what the client still sends is read and dropped, so that no reset overtakes the
@@ -204,7 +202,7 @@
 
   void process() {
     if (lingering_) in_.clear();
-    while (!in_.empty() && !closing_ && out_.room() >= kMostAnswer) {
+    while (!in_.empty() && !closing_ && !broken_ && room_to_answer()) {
       const bool fresh = !request_.started();
       const bool head = request_.head_done();
       in_.consume(request_.feed(in_.data()));
@@ -256,26 +254,43 @@
     return ended_ || (in_.empty() && ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0);
   }
 
+  bool room_to_answer() {
+    if (out_.room() < kMostAnswer && !writing_) write_out();
+    return out_.room() >= kMostAnswer;
+  }
+
+  // As much as goes at once.
+  void write_out() {
+    asio::error_code error;
+    while (!out_.empty() && !error) {
+      const std::string_view data = out_.data();
+      out_.consume(socket_.write_some(asio::buffer(data.data(), data.size()), error));
+    }
+    if (error && error != asio::error::would_block) broken_ = true;
+  }
+
   void flush_then_read() {
     if (writing_ || !socket_.is_open()) return;
+    write_out();
     if (broken_) return drop();
     if (out_.empty()) {
       if (ended_) return drop();
       if (closing_ && !lingering_) finish();
       return read_if_idle();
     }
+    await_room();
+  }
+  void await_room() {
     writing_ = true;
-    const std::string_view data = out_.data();
-    socket_.async_write_some(asio::buffer(data.data(), data.size()),
-                             [self = shared_from_this()](asio::error_code e, std::size_t n) {
-                               self->writing_ = false;
-                               if (!self->socket_.is_open()) return;
-                               if (e) return self->drop();
-                               self->out_.consume(n);
-                               // Requests that came while the answers had no room go on now.
-                               if (!self->in_.empty() && !self->closing_) return self->process();
-                               self->flush_then_read();
-                             });
+    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](asio::error_code e) {
+      self->writing_ = false;
+      if (!self->socket_.is_open()) return;
+      if (e) return self->drop();
+      self->write_out();
+      // Requests that came while the answers had no room go on now.
+      if (!self->in_.empty() && !self->closing_) return self->process();
+      self->flush_then_read();
+    });
   }
   void read_if_idle() {
     if (lingering_) in_.clear();
@@ -319,6 +334,7 @@
     acceptor_.open(at.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(at);
+    acceptor_.non_blocking(true);
     acceptor_.listen();
   } catch (const std::exception& e) {
     throw ConfigError("cannot listen on " + config_.listen.text() + ": " + e.what());
@@ -327,8 +343,12 @@
 }
 
 void Downstream::accept() {
-  acceptor_.async_accept([this](asio::error_code error, tcp::socket socket) {
+  acceptor_.async_wait(tcp::acceptor::wait_read, [this](asio::error_code error) {
     if (error == asio::error::operation_aborted) return;
+    tcp::socket socket(io_);
+    if (!error) acceptor_.accept(socket, error);
+    // Who knocked may be gone again.
+    if (error == asio::error::would_block || error == asio::error::connection_aborted) return accept();
     // Guards against spinning, or ending, where no descriptor is left.
     if (error) {
       if (!std::exchange(said_, true)) log_("downstream", "cannot accept: " + error.message());
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -89,8 +89,9 @@
   return report;
 }
 
-// One connection to an upstream host. While it is open a read is always out, so that its end is seen at once,
-// also between calls.
+// One connection to an upstream host. While it is open it is always waited on for reading, so that its end is
+// seen at once, also between calls. No operation that is under way connects, writes or reads by itself: see
+// Downstream::Session.
 class Upstream::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(Upstream& pool, HostId host)
@@ -117,21 +118,15 @@
     ++pool_.counters_.connects;
     asio::error_code error;
     const auto ip = asio::ip::make_address(call_.address.host, error);
-    if (error) {
-      asio::post(pool_.io_, [self = shared_from_this()] { self->end(Outcome::connect_failed); });
-      return;
+    const tcp::endpoint to(ip, call_.address.port);
+    if (!error) socket_.open(to.protocol(), error);
+    if (!error) socket_.non_blocking(true, error);
+    if (error || (::connect(socket_.native_handle(), to.data(), static_cast<socklen_t>(to.size())) != 0 &&
+                  errno != EINPROGRESS)) {
+      return later(Due::connect_failed);
     }
     arm(std::min(pool_.config_.limits.connect, call_.timeout));
-    socket_.async_connect({ip, call_.address.port}, [self = shared_from_this()](asio::error_code e) {
-      if (!self->socket_.is_open() || self->held_back_) return;  // given up meanwhile
-      if (e) return self->end(Outcome::connect_failed);
-      self->up_ = true;
-      self->socket_.set_option(tcp::no_delay(true), e);
-      self->socket_.non_blocking(true, e);
-      self->arm_at(self->deadline_);
-      self->write();
-      self->read();
-    });
+    await_connected();
   }
 
   void reuse(StartCall call) {
@@ -150,13 +145,12 @@
   }
 
   void give_up(const CancelCall& c) {
-    if (busy_ && call_.stream == c.stream && call_.attempt == c.attempt) end(Outcome::cancelled);
+    if (busy_ && call_.stream == c.stream && call_.attempt == c.attempt) later(Due::cancelled);
   }
   // At once, since the connection may come up before the loop's next turn; the call ends in that turn.
   void hold_back(const HoldBack& c) {
     if (!busy_ || started_ || call_.stream != c.stream || call_.attempt != c.attempt) return;
-    held_back_ = true;
-    asio::post(pool_.io_, [self = shared_from_this()] { self->end(Outcome::not_sent); });
+    later(Due::held_back);
   }
   void retire() { retired_ = true; }
   void close() {
@@ -183,6 +177,7 @@
     call_ = std::move(call);
     busy_ = true;
     started_ = written_ = answering_ = false;
+    due_ = Due::nothing;
     interim_ = 0;
     answer_.reset();
     out_.clear();
@@ -205,17 +200,64 @@
     });
   }
 
+  // What ends the call in the loop's next turn, never before the one who started it returns. The first such
+  // end is the one.
+  enum class Due : std::uint8_t { nothing, connect_failed, broken, held_back, cancelled };
+  void later(Due due) {
+    if (due_ != Due::nothing) return;
+    due_ = due;
+    asio::post(pool_.io_, [self = shared_from_this()] { self->end_due(); });
+  }
+  void end_due() {
+    switch (std::exchange(due_, Due::nothing)) {
+      case Due::nothing:
+        return;
+      case Due::connect_failed:
+        return end(Outcome::connect_failed);
+      case Due::broken:
+        return busy_ ? broken() : void();
+      case Due::held_back:
+        return end(Outcome::not_sent);
+      case Due::cancelled:
+        return end(Outcome::cancelled);
+    }
+  }
+
+  void await_connected() {
+    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](asio::error_code e) {
+      if (!self->socket_.is_open() || !self->busy_ || self->due_ != Due::nothing) return;  // given up
+      int failure = 0;
+      socklen_t size = sizeof failure;
+      if (e || ::getsockopt(self->socket_.native_handle(), SOL_SOCKET, SO_ERROR, &failure, &size) != 0 ||
+          failure != 0) {
+        return self->end(Outcome::connect_failed);
+      }
+      self->up_ = true;
+      self->socket_.set_option(tcp::no_delay(true), e);
+      self->arm_at(self->deadline_);
+      self->write();
+      self->read();
+    });
+  }
+
   void write() {
     started_ = true;
-    const std::string_view data = out_.data();
-    socket_.async_write_some(asio::buffer(data.data(), data.size()),
-                             [self = shared_from_this()](asio::error_code e, std::size_t n) {
-                               if (!self->busy_ || !self->socket_.is_open()) return;
-                               if (e) return self->broken();
-                               self->out_.consume(n);
-                               self->written_ = self->out_.empty();
-                               if (!self->written_) self->write();
-                             });
+    asio::error_code error;
+    while (!out_.empty() && !error) {
+      const std::string_view data = out_.data();
+      out_.consume(socket_.write_some(asio::buffer(data.data(), data.size()), error));
+    }
+    written_ = out_.empty();
+    if (written_) return;
+    if (error != asio::error::would_block) return later(Due::broken);
+    await_room();
+  }
+  void await_room() {
+    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](asio::error_code e) {
+      if (!self->busy_ || !self->socket_.is_open()) return;
+      if (e) return self->broken();
+      self->write();
+    });
   }
 
   // Waits first and reads then. Guards against bytes that came behind an answer being taken off the socket
@@ -330,7 +372,7 @@
   Time idle_{};      // before the call; 0 = it came up for it
   bool up_ = false;  // it did come up
   bool busy_ = false;
-  bool held_back_ = false;
+  Due due_ = Due::nothing;
   bool retired_ = false;  // closes after its call
   bool started_ = false;  // a byte of the call may be on its way
   bool written_ = false;
@@ -355,9 +397,8 @@
     return connection->reuse(std::move(call));
   }
   if (!make_room()) {
-    asio::post(io_, [this, stream = call.stream, attempt = call.attempt] {
-      report(CallEnded{stream, attempt, Outcome::not_sent, false, Time(0), true, {}, false, Time(0)});
-    });
+    without_room_.push_back({call.stream, call.attempt});
+    asio::post(io_, [this] { end_without_room(); });
     return;
   }
   const auto connection = std::make_shared<Connection>(*this, call.host);
@@ -365,6 +406,12 @@
   connection->connect(std::move(call));
 }
 
+void Upstream::end_without_room() {
+  for (const auto& [stream, attempt] : std::exchange(without_room_, {})) {
+    report(CallEnded{stream, attempt, Outcome::not_sent, false, Time(0), true, {}, false, Time(0)});
+  }
+}
+
 // Guards the descriptors: the connection that has been idle for longest makes way.
 bool Upstream::make_room() {
   if (*connections_ < config_.limits.upstream_connections) return true;
@@ -384,8 +431,7 @@
 void Upstream::cancel(const CancelCall& call) {
   const auto it = calls_.find(call.stream);
   if (it == calls_.end()) return;
-  const Pointer connection = it->second;
-  asio::post(io_, [connection, call] { connection->give_up(call); });
+  it->second->give_up(call);
 }
 
 void Upstream::hold_back(const HoldBack& call) {
