--- a/src/base/descriptor.hpp
+++ b/src/base/descriptor.hpp
@@ -3,7 +3,11 @@
 
 #include <unistd.h>
 
+#include <cstddef>
+#include <cstdint>
+#include <stdexcept>
 #include <utility>
+#include <vector>
 
 namespace fennellane {
 
@@ -19,9 +23,39 @@
     if (fd_ >= 0) ::close(fd_);
   }
   int get() const { return fd_; }
+  // To one who closes it himself.
+  int release() { return std::exchange(fd_, -1); }
 
  private:
   int fd_;
 };
 
+// Descriptors that go to another process, and those that came from one. The bytes that go along name each by
+// its position.
+class DescriptorsOut {
+ public:
+  std::uint32_t add(int fd) {
+    all_.push_back(fd);
+    return static_cast<std::uint32_t>(all_.size() - 1);
+  }
+  const std::vector<int>& all() const { return all_; }  // their owners' still
+
+ private:
+  std::vector<int> all_;
+};
+class DescriptorsIn {
+ public:
+  void add(FileDescriptor fd) { all_.push_back(std::move(fd)); }
+  std::size_t size() const { return all_.size(); }
+  // Each once; throws std::out_of_range for one that is not there.
+  FileDescriptor take(std::uint32_t position) {
+    FileDescriptor taken = std::move(all_.at(position));
+    if (taken.get() < 0) throw std::out_of_range("a descriptor that was not handed over");
+    return taken;
+  }
+
+ private:
+  std::vector<FileDescriptor> all_;
+};
+
 }  // namespace fennellane
--- a/src/consul/consul_source.cpp
+++ b/src/consul/consul_source.cpp
@@ -4,6 +4,7 @@
 #include <asio/co_spawn.hpp>
 
 #include "clock.hpp"
+#include "memory.hpp"
 
 namespace fennellane {
 namespace {
@@ -51,8 +52,34 @@
   seeded_ = true;
 }
 
+std::string ConsulSource::services_text() const {
+  std::string text;
+  for (const ConsulService& s : settings_.services) text += s.name + "\n" + s.tag + "\n";
+  return text;
+}
+
+std::string ConsulSource::save() {
+  return written_memory([this](MemoryWriter& archive) {
+    archive(services_text(), membership_.save(), registration_ && registration_->registered());
+  });
+}
+
+void ConsulSource::load(std::string_view bytes) {
+  read_memory(bytes, "what is known from Consul", [this](MemoryReader& archive) {
+    std::string services, membership;
+    bool registered = false;
+    archive(services, membership, registered);
+    if (registered && registration_) registration_->adopt();
+    if (services != services_text()) return;
+    membership_.load(membership);
+    adopted_ = true;
+  });
+}
+
 void ConsulSource::start() {
-  if (seeded_) {
+  if (adopted_) {
+    arm();
+  } else if (seeded_) {
     on_list_(membership_.whole_list(), false);
   } else {
     const std::string wrong =
@@ -83,7 +110,7 @@
 
 void ConsulSource::leave() {
   if (registration_) registration_->leave();
-  if (save_armed_) save();
+  if (save_armed_) keep_list();
 }
 
 void ConsulSource::set_ready() {
@@ -127,11 +154,11 @@
   saving_.expires_after(limits_.list_gap);
   saving_.async_wait([weak = weak_from_this()](asio::error_code error) {
     const auto self = weak.lock();
-    if (!error && self && !self->stopped_) self->save();
+    if (!error && self && !self->stopped_) self->keep_list();
   });
 }
 
-void ConsulSource::save() {
+void ConsulSource::keep_list() {
   save_armed_ = false;
   const std::string wrong = store_.save(membership_, settings_, place_.names);
   ++counters_.consul_saves;
--- a/src/consul/consul_source.hpp
+++ b/src/consul/consul_source.hpp
@@ -39,12 +39,18 @@
   void leave() override;
   void set_ready() override;
 
+  // What is known of each service and whether the relay is registered, for another process. It is of no use
+  // to one whose services are others.
+  std::string save();
+  void load(std::string_view bytes);  // before `start`; throws starlinghook::MemoryError
+
  private:
+  std::string services_text() const;
   bool take(const ServiceAnswer& answer);  // whether it is wanted once more
   void tell(MembershipChange change);
   void arm();
   void save_later();
-  void save();
+  void keep_list();
   void copy(const ConsulSource& before);
 
   asio::io_context& io_;
@@ -62,7 +68,8 @@
   asio::steady_timer due_;                      // the membership's
   asio::steady_timer saving_;
   bool save_armed_ = false;
-  bool seeded_ = false;  // an earlier life's or an earlier source's list is known
+  bool adopted_ = false;  // the list goes on as it was told by another process
+  bool seeded_ = false;   // an earlier life's or an earlier source's list is known
   bool stopped_ = false;
 };
 
--- a/src/consul/registration.cpp
+++ b/src/consul/registration.cpp
@@ -86,18 +86,17 @@
 asio::awaitable<void> Registration::run() {
   const Time beat = settings_.registration->ttl / 3;
   Time backoff = limits_.backoff_least;
-  bool registered = false;
   while (!leaving_) {
     unsigned status = 0;
-    if (!registered) {
+    if (!registered_) {
       status = co_await put("/v1/agent/service/register", registration_json(*settings_.registration, id_));
-      registered = status == 200;
+      registered_ = status == 200;
     }
-    if (registered && !leaving_) {
+    if (registered_ && !leaving_) {
       status =
           co_await put(std::string("/v1/agent/check/") + (ready_ ? "pass" : "fail") + "/service:" + id_, "");
       // An agent that was restarted may know nothing of it: then it is registered anew.
-      if (status != 200 && status != 0) registered = false;
+      if (status != 200 && status != 0) registered_ = false;
     }
     if (leaving_) break;
     if (status == 200) {
@@ -115,7 +114,7 @@
       backoff = std::min(backoff * 2, limits_.backoff_most);
     }
   }
-  if (registered) {
+  if (registered_) {
     const unsigned status = co_await put("/v1/agent/service/deregister/" + id_, "");
     log_("consul", status == 200 ? "registration: given back"
                                  : "registration: not given back, status " + std::to_string(status));
--- a/src/consul/registration.hpp
+++ b/src/consul/registration.hpp
@@ -27,6 +27,9 @@
 
   void start();
   void set_ready();
+  // Another process has registered the service, and this one keeps it. Before `start`.
+  void adopt() { registered_ = true; }
+  bool registered() const { return registered_; }
   // Takes the service out of the catalogue, once, and ends.
   void leave();
 
@@ -43,6 +46,7 @@
   Log& log_;
   Client client_;
   asio::steady_timer pause_;
+  bool registered_ = false;
   bool ready_ = false;
   bool leaving_ = false;
   bool failing_ = false;  // and the log has heard so
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -143,12 +144,14 @@
 
   std::vector<Effect> reduce(Time now, const Input& input);
 
-  // All that it remembers, the module's part included, as bytes; of no use to another version.
+  // All that it remembers but the bodies, the module's part included, as bytes; of no use to another version.
   std::string save();
-  // Of a reducer that has had no input: goes on exactly where the saved one stood. Throws
-  // starlinghook::MemoryError for bytes of another version, or that do not fit the settings; it is of no use
-  // then.
-  void load(const starlinghook::Settings& settings, std::string_view bytes);
+  // Of a reducer that has had no input: goes on exactly where the saved one stood, with the bodies from
+  // elsewhere (null: there is none). Throws starlinghook::MemoryError for bytes of another version, or that
+  // do not fit the settings, and for a body that is missing; it is of no use then.
+  using BodyOf = std::function<Body(StreamId)>;
+  void load(const starlinghook::Settings& settings, std::string_view bytes, const BodyOf& body_of);
+  Time next_timer() const { return timer_; }  // the one that SetTimer asked for last, or Time::max()
 
   std::size_t streams() const { return streams_.size(); }
   std::size_t hosts() const { return cluster_.size(); }
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -7,6 +7,8 @@
 #include <span>
 #include <utility>
 
+#include "adopted.hpp"
+#include "http_memory.hpp"
 #include "number.hpp"
 #include "ring_buffer.hpp"
 
@@ -94,6 +96,23 @@
     read();
   }
 
+  int descriptor() { return socket_.native_handle(); }
+  template <class Archive>
+  void remember(Archive& archive) {
+    auto expiry = timer_.expiry();
+    archive(in_, out_, since_, expiry, served_, ended_, closing_, lingering_, broken_);
+    request_.remember(archive);
+    if (Archive::is_loading::value) timer_.expires_at(expiry);
+  }
+  void resume() {
+    if (lingering_) {
+      await_lingered();
+    } else {
+      arm_at(timer_.expiry());
+    }
+    process();
+  }
+
   // Between requests, as far as has been read.
   bool quiet() const { return !closing_ && !request_.started() && in_.empty() && out_.empty(); }
   // And none has come that has not been read yet.
@@ -142,9 +161,7 @@
     asio::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     timer_.expires_after(limits_.linger);
-    timer_.async_wait([self = shared_from_this()](asio::error_code e) {
-      if (!e) self->drop();
-    });
+    await_lingered();
   }
 
   // Closes at once, so that the place is free; half a request hears why, if the answer leaves in one piece.
@@ -165,8 +182,14 @@
     since_ = std::chrono::steady_clock::now();
     arm(limits_.downstream_idle);
   }
-  void arm(Time limit) {
-    timer_.expires_after(limit);
+  void await_lingered() {
+    timer_.async_wait([self = shared_from_this()](asio::error_code e) {
+      if (!e) self->drop();
+    });
+  }
+  void arm(Time limit) { arm_at(std::chrono::steady_clock::now() + limit); }
+  void arm_at(std::chrono::steady_clock::time_point at) {
+    timer_.expires_at(at);
     timer_.async_wait([self = shared_from_this()](asio::error_code e) {
       if (e || self->lingering_ || self->timer_.expiry() > std::chrono::steady_clock::now()) return;
       // Guards against an answer that nobody reads holding its connection for good.
@@ -411,6 +434,41 @@
   it->second->answer(503, again > 0 ? "Retry-After: " + std::to_string(again) + "\r\n" : "");
 }
 
+std::string Downstream::save(DescriptorsOut& descriptors) {
+  return written_memory([&](MemoryWriter& archive) {
+    archive(descriptors.add(acceptor_.native_handle()), next_, sessions_.size());
+    for (const auto& [number, session] : sessions_) {
+      archive(number, descriptors.add(session->descriptor()));
+      session->remember(archive);
+    }
+  });
+}
+
+void Downstream::load(std::string_view bytes, DescriptorsIn& descriptors) {
+  read_memory(bytes, "the clients' connections", [&](MemoryReader& archive) {
+    std::uint32_t listener = 0;
+    std::size_t count = 0;
+    archive(listener, next_, count);
+    adopt(acceptor_, descriptors.take(listener));
+    for (; count > 0; --count) {
+      ReplyTo number = 0;
+      std::uint32_t position = 0;
+      archive(number, position);
+      tcp::socket socket(io_);
+      adopt(socket, descriptors.take(position));
+      const auto session = std::make_shared<Session>(*this, std::move(socket), number);
+      session->remember(archive);
+      sessions_.emplace(number, session);
+    }
+  });
+}
+
+void Downstream::resume() {
+  accept();
+  const auto sessions = sessions_;  // a copy: some may end as they go on
+  for (const auto& [number, session] : sessions) session->resume();
+}
+
 void Downstream::send_away() { sending_away_ = true; }
 
 void Downstream::close_idle() {
--- a/src/http/downstream.hpp
+++ b/src/http/downstream.hpp
@@ -11,6 +11,7 @@
 
 #include "config.hpp"
 #include "counters.hpp"
+#include "descriptor.hpp"
 #include "http.hpp"
 #include "log.hpp"
 #include "reducer.hpp"
@@ -27,6 +28,14 @@
   ~Downstream();
 
   void listen();  // throws ConfigError where the address cannot be had
+  // The listener, the connections and what has been read and not yet written on them, for another process.
+  // Between two handlers only.
+  std::string save(DescriptorsOut& descriptors);
+  // Instead of `listen`: goes on with those of another process, but touches none before `resume`. Throws
+  // starlinghook::MemoryError, std::out_of_range or std::system_error; it is of no use then.
+  void load(std::string_view bytes, DescriptorsIn& descriptors);
+  void resume();
+
   void answer(const Answer& answer);
   void set_ready() { ready_ = true; }
   void send_away();   // answers on, but keeps no connection
--- a/src/http/http.hpp
+++ b/src/http/http.hpp
@@ -42,6 +42,10 @@
   // What has come of the body since the last call. Its bound counts what has not been taken.
   std::string take_body() { return std::exchange(body_, {}); }
 
+  // For another process, which goes on reading in the middle of the message: see http_memory.hpp.
+  template <class Archive>
+  void remember(Archive& archive);
+
  private:
   static const http_parser_settings& callbacks();
   bool grow_head(std::size_t count);
--- /dev/null
+++ b/src/http/http_memory.hpp
@@ -0,0 +1,53 @@
+// What connections remember of the bytes on their way, for a process that takes over from another.
+#pragma once
+
+#include <http_parser.h>
+
+#include "http.hpp"
+#include "memory.hpp"
+#include "ring_buffer.hpp"
+
+namespace fennellane {
+
+template <class Archive>
+void HttpReader::remember(Archive& archive) {
+  const auto pass = [&archive](auto value) {
+    archive(value);
+    return value;
+  };
+  // The parser's own state goes along. Guards against a library of another version that goes on with it.
+  constexpr unsigned kLibrary =
+      HTTP_PARSER_VERSION_MAJOR * 10000 + HTTP_PARSER_VERSION_MINOR * 100 + HTTP_PARSER_VERSION_PATCH;
+  if (pass(kLibrary) != kLibrary) {
+    throw starlinghook::MemoryError("messages were being read with another version of http-parser");
+  }
+  parser_.type = pass(unsigned{parser_.type}) & 0x3u;
+  parser_.flags = pass(unsigned{parser_.flags}) & 0xffu;
+  parser_.state = pass(unsigned{parser_.state}) & 0x7fu;
+  parser_.header_state = pass(unsigned{parser_.header_state}) & 0x7fu;
+  parser_.index = pass(unsigned{parser_.index}) & 0x1fu;
+  parser_.uses_transfer_encoding = pass(unsigned{parser_.uses_transfer_encoding}) & 1u;
+  parser_.allow_chunked_length = pass(unsigned{parser_.allow_chunked_length}) & 1u;
+  parser_.lenient_http_headers = pass(unsigned{parser_.lenient_http_headers}) & 1u;
+  parser_.status_code = pass(unsigned{parser_.status_code}) & 0xffffu;
+  parser_.method = pass(unsigned{parser_.method}) & 0xffu;
+  parser_.http_errno = pass(unsigned{parser_.http_errno}) & 0x7fu;
+  parser_.upgrade = pass(unsigned{parser_.upgrade}) & 1u;
+  archive(parser_.nread, parser_.content_length, parser_.http_major, parser_.http_minor);
+  archive(head_size_, first_line_, target_, headers_, in_value_, body_, started_, head_done_, done_,
+          keep_alive_, refusal_);
+}
+
+template <class Archive>
+void save(Archive& archive, const RingBuffer& ring) {
+  archive(ring.text());
+}
+// Throws starlinghook::MemoryError where the bytes have no room.
+template <class Archive>
+void load(Archive& archive, RingBuffer& ring) {
+  std::string text;
+  archive(text);
+  if (!ring.append(text)) throw starlinghook::MemoryError("a connection's bytes have no room");
+}
+
+}  // namespace fennellane
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -11,6 +11,8 @@
 #include <cmath>
 #include <span>
 
+#include "adopted.hpp"
+#include "http_memory.hpp"
 #include "ring_buffer.hpp"
 
 namespace fennellane {
@@ -129,6 +131,36 @@
     await_connected();
   }
 
+  bool busy() const { return busy_; }
+  StreamId stream() const { return call_.stream; }
+
+  template <class Archive>
+  void remember(Archive& archive) {
+    auto expiry = timer_.expiry();
+    archive(expiry, idle_since_, idle_, up_, busy_, retired_);
+    if (Archive::is_loading::value) timer_.expires_at(expiry);
+    if (!busy_) return;
+    // All of the call but its body: that is in the ring, or gone out.
+    archive(call_.stream, call_.attempt, call_.address, call_.id, call_.timeout, deadline_, started_,
+            written_, answering_, interim_, due_, in_, out_);
+    answer_.remember(archive);
+  }
+  void adopt_socket(FileDescriptor fd) { adopt(socket_, std::move(fd)); }
+  // -1: there is none.
+  int descriptor() { return socket_.is_open() ? socket_.native_handle() : -1; }
+  void resume() {
+    if (!busy_) {
+      await_rested();
+      return read();
+    }
+    if (due_ != Due::nothing) asio::post(pool_.io_, [self = shared_from_this()] { self->end_due(); });
+    if (!socket_.is_open()) return;
+    arm_at(timer_.expiry());
+    if (!up_) return await_connected();
+    if (!out_.empty()) await_room();
+    read();
+  }
+
   void reuse(StartCall call) {
     take(std::move(call));
     idle_ = std::max(Time(1), now() - idle_since_);
@@ -162,14 +194,17 @@
   void rest(Time idle) {
     idle_since_ = now();
     timer_.expires_after(idle);
+    await_rested();
+  }
+
+ private:
+  void await_rested() {
     timer_.async_wait([self = shared_from_this()](asio::error_code e) {
       if (e || self->busy_ || !self->socket_.is_open()) return;
       self->pool_.forget_idle(*self);
       self->close();
     });
   }
-
- private:
   static Time now() {
     return std::chrono::duration_cast<Time>(std::chrono::steady_clock::now().time_since_epoch());
   }
@@ -461,6 +496,49 @@
   if (pool->second.empty()) idle_.erase(pool);
 }
 
+std::string Upstream::save(DescriptorsOut& descriptors) {
+  constexpr std::uint32_t kNone = UINT32_MAX;
+  return written_memory([&](MemoryWriter& archive) {
+    std::vector<Pointer> all;
+    for (const auto& [stream, connection] : calls_) all.push_back(connection);
+    for (const auto& [host, pool] : idle_) all.insert(all.end(), pool.begin(), pool.end());
+    archive(without_room_, all.size());
+    for (const Pointer& connection : all) {
+      const int fd = connection->descriptor();
+      archive(connection->host(), fd < 0 ? kNone : descriptors.add(fd));
+      connection->remember(archive);
+    }
+  });
+}
+
+void Upstream::load(std::string_view bytes, DescriptorsIn& descriptors) {
+  read_memory(bytes, "the upstream connections", [&](MemoryReader& archive) {
+    std::size_t count = 0;
+    archive(without_room_, count);
+    for (; count > 0; --count) {
+      HostId host = 0;
+      std::uint32_t position = 0;
+      archive(host, position);
+      const auto connection = std::make_shared<Connection>(*this, host);
+      if (position != UINT32_MAX) connection->adopt_socket(descriptors.take(position));
+      connection->remember(archive);
+      if (connection->busy()) {
+        calls_[connection->stream()] = connection;
+      } else {
+        idle_[host].push_back(connection);
+      }
+    }
+  });
+}
+
+void Upstream::resume() {
+  if (!without_room_.empty()) asio::post(io_, [this] { end_without_room(); });
+  for (const auto& [stream, connection] : calls_) connection->resume();
+  for (const auto& [host, pool] : idle_) {
+    for (const Pointer& connection : pool) connection->resume();
+  }
+}
+
 void Upstream::close_idle(HostId host) {
   while (const Pointer connection = take_idle(host)) connection->close();
 }
--- a/src/http/upstream.hpp
+++ b/src/http/upstream.hpp
@@ -10,6 +10,7 @@
 
 #include "config.hpp"
 #include "counters.hpp"
+#include "descriptor.hpp"
 #include "http.hpp"
 #include "reducer.hpp"
 
@@ -40,6 +41,14 @@
   // No call goes out any more on a connection that is open to the host.
   void retire(HostId host);
 
+  // The calls that are out and the idle connections, with what has been written and read on them, for another
+  // process. Between two handlers only.
+  std::string save(DescriptorsOut& descriptors);
+  // Of one that has had no call: goes on with those of another process, but touches none before `resume`.
+  // Throws starlinghook::MemoryError, std::out_of_range or std::system_error; it is of no use then.
+  void load(std::string_view bytes, DescriptorsIn& descriptors);
+  void resume();
+
   std::size_t calls() const { return calls_.size(); }
   std::size_t connections() const { return *connections_; }
   std::size_t pools() const { return idle_.size(); }
--- a/src/io/ring_buffer.hpp
+++ b/src/io/ring_buffer.hpp
@@ -6,6 +6,7 @@
 #include <cstring>
 #include <memory>
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace fennellane {
@@ -38,6 +39,12 @@
   }
   void clear() { consume(size_); }
 
+  // All held bytes.
+  std::string text() const {
+    const std::string_view first = data();
+    return std::string(first).append(bytes_.get(), size_ - first.size());
+  }
+
   // All of the text or, where it does not fit, nothing.
   bool append(std::string_view text) {
     if (text.size() > room()) return false;
--- /dev/null
+++ b/src/io/signals.cpp
@@ -0,0 +1,46 @@
+#include "signals.hpp"
+
+#include <signal.h>
+#include <sys/signalfd.h>
+
+#include <cerrno>
+#include <system_error>
+
+namespace fennellane {
+namespace {
+
+int opened(std::initializer_list<int> numbers) {
+  sigset_t set;
+  sigemptyset(&set);
+  for (const int number : numbers) sigaddset(&set, number);
+  const int fd =
+      pthread_sigmask(SIG_BLOCK, &set, nullptr) == 0 ? ::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC) : -1;
+  if (fd < 0) throw std::system_error(errno, std::generic_category(), "signals");
+  return fd;
+}
+
+}  // namespace
+
+Signals::Signals(asio::io_context& io, std::initializer_list<int> numbers)
+    : descriptor_(io, opened(numbers)) {}
+
+void Signals::start(std::function<void(int)> on_signal) {
+  on_signal_ = std::move(on_signal);
+  wait();
+}
+
+std::optional<int> Signals::take() {
+  signalfd_siginfo info;
+  if (::read(descriptor_.native_handle(), &info, sizeof info) != sizeof info) return std::nullopt;
+  return static_cast<int>(info.ssi_signo);
+}
+
+void Signals::wait() {
+  descriptor_.async_wait(asio::posix::stream_descriptor::wait_read, [this](asio::error_code error) {
+    if (error) return;
+    while (const std::optional<int> number = take()) on_signal_(*number);
+    wait();
+  });
+}
+
+}  // namespace fennellane
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -190,11 +190,12 @@
     size_ = kMagic.size();
     return;
   }
-  replay(text);
+  size_ = kMagic.size();
+  replay(std::string_view(text).substr(kMagic.size()));
 }
 
 void Journal::replay(std::string_view text) {
-  std::size_t at = kMagic.size();
+  std::size_t at = 0;
   while (text.size() - at >= kFrame) {
     Reader head(text.substr(at, kFrame));
     const auto size = head.get<std::uint32_t>();
@@ -204,9 +205,9 @@
     if (checksum(payload) != sum || !apply(payload)) break;
     at += kFrame + size;
   }
-  size_ = at;
+  size_ += at;
   cut_bytes_ = text.size() - at;
-  if (cut_bytes_ > 0 && owned_ && ::ftruncate(file_.get(), static_cast<off_t>(at)) != 0)
+  if (cut_bytes_ > 0 && owned_ && ::ftruncate(file_.get(), static_cast<off_t>(size_)) != 0)
     fail("cannot cut " + path(kName));
 }
 
@@ -287,19 +288,34 @@
   owned_ = false;
 }
 
+bool Journal::moved() const {
+  struct stat here {
+  }, known{};
+  return ::stat(path(kName).c_str(), &here) != 0 || ::fstat(file_.get(), &known) != 0 ||
+         here.st_ino != known.st_ino || here.st_dev != known.st_dev;
+}
+
+void Journal::catch_up() {
+  // It was compacted.
+  if (moved()) {
+    *this = Journal(folder_, most_bytes_, Access::observes);
+    return;
+  }
+  if (::lseek(file_.get(), static_cast<off_t>(size_), SEEK_SET) < 0) fail("cannot read " + path(kName));
+  replay(read_all(file_.get(), path(kName)));
+}
+
 void Journal::claim(Generation generation) {
   if (owned_) throw JournalError("the journal is owned already");
-  Journal found(folder_, most_bytes_, Access::observes);
-  const bool fenced = found.generation_ == generation;
-  if (!fenced && found.generation_ + 1 != generation) throw JournalError("the journal has another owner");
   // Guards against a state that is older than the journal: its owner must have been frozen since.
-  const std::uint64_t fence =
-      found.generation_ == generation_ ? 0 : framed(Writer(Kind::fence, 0).text()).size();
-  if (found.cut_bytes_ > 0 || found.size_ != size_ + fence)
-    throw JournalError("the journal has gone on since");
-  file_ = std::move(found.file_);
-  size_ = found.size_;
-  generation_ = found.generation_;
+  const std::uint64_t known = size_;
+  const Generation before = generation_;
+  if (moved()) throw JournalError("the journal has gone on since");
+  catch_up();
+  const std::uint64_t fence = generation_ == before ? 0 : framed(Writer(Kind::fence, 0).text()).size();
+  if (cut_bytes_ > 0 || size_ != known + fence) throw JournalError("the journal has gone on since");
+  const bool fenced = generation_ == generation;
+  if (!fenced && generation_ + 1 != generation) throw JournalError("the journal has another owner");
   owned_ = true;
   if (fenced) return;
   this->fence(generation);
@@ -311,7 +327,13 @@
   const std::string record = framed(payload);
   if (size_ + record.size() > most_bytes_) compact();
   if (size_ + record.size() > most_bytes_) throw JournalError("the journal is full");
-  write_all(file_.get(), record, path(kName));
+  try {
+    write_all(file_.get(), record, path(kName));
+  } catch (const JournalError&) {
+    // Guards against half a record, behind which nothing would be read.
+    if (::ftruncate(file_.get(), static_cast<off_t>(size_)) != 0) owned_ = false;
+    throw;
+  }
   size_ += record.size();
   ++records_;
   if (!apply(payload)) throw JournalError("a record of a message that is not held");
--- a/src/journal/journal.hpp
+++ b/src/journal/journal.hpp
@@ -46,6 +46,8 @@
   // The last record of this owner: from it on only the owner of that generation can append. Throws
   // JournalError if it cannot be written; this one owns the journal still.
   void fence(Generation to);
+  // Of an observer: reads what the owner has written since. Throws JournalError.
+  void catch_up();
   // An observer, or an owner that has fenced itself off, becomes the owner: the newest fence names this
   // generation, or the one before, whose owner is known to be dead and is fenced off first. Throws
   // JournalError otherwise, and if the file holds anything but that fence that this one has not seen.
@@ -62,13 +64,15 @@
   std::uint64_t size() const { return size_; }
   std::uint64_t records() const { return records_; }
   std::uint64_t compactions() const { return compactions_; }
-  std::uint64_t cut_bytes() const { return cut_bytes_; }  // of a torn tail, at the start
+  std::uint64_t cut_bytes() const { return cut_bytes_; }  // of a torn tail, when it was last read
 
  private:
   void append(const std::string& payload);
   void check_owned() const;
   bool apply(std::string_view payload);
-  void replay(std::string_view text);
+  // Records that follow what is known.
+  void replay(std::string_view records);
+  bool moved() const;  // the journal in the folder is another file
   void compact();
   std::string path(const char* name) const { return folder_ + "/" + name; }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,20 +1,100 @@
 // The command line of fennellane.
+#include <unistd.h>
+
 #include <CLI/CLI.hpp>
 #include <cstdio>
 #include <exception>
+#include <functional>
+#include <optional>
 #include <string>
 
+#include "command.hpp"
 #include "config.hpp"
+#include "new_process.hpp"
 #include "relay.hpp"
+#include "watch.hpp"
 
 namespace {
 
 constexpr int kBadConfig = 2;
 
-int serve(const std::string& config_path, const std::string& settings_path, const std::string& state) {
+// What a process does that was started to take over from another.
+class TakingOver : public fennellane::upgrade::Successor {
+ public:
+  TakingOver(std::function<fennellane::Config()> read, std::string state, fennellane::ProcessPlace place)
+      : read_(std::move(read)), state_(std::move(state)), place_(std::move(place)) {}
+
+  std::string check() override {
+    return failure_of([this] {
+      config_ = read_();
+      if (!config_.upgrade) throw fennellane::ConfigError("its settings switch upgrades off");
+      journal_.emplace(state_, config_.limits.journal_file, fennellane::Journal::Access::observes);
+    });
+  }
+  std::string build(const std::string& state, fennellane::DescriptorsIn& descriptors,
+                    std::uint64_t journal_bytes) override {
+    return failure_of([&] {
+      journal_->catch_up();
+      if (journal_->size() != journal_bytes || journal_->cut_bytes() > 0) {
+        throw fennellane::JournalError("the journal is not as the old process left it");
+      }
+      relay_.emplace(config_, state_, read_, fennellane::FileDescriptor(), std::move(*journal_), place_);
+      relay_->load(state, descriptors);
+    });
+  }
+  std::string claim(fennellane::handover::Generation generation) override {
+    return failure_of([&] { relay_->claim(generation); });
+  }
+  fennellane::Relay& relay() { return *relay_; }
+
+ private:
+  template <class Do>
+  static std::string failure_of(Do what) {
+    try {
+      what();
+      return "";
+    } catch (const std::exception& e) {
+      return *e.what() == 0 ? "an unknown failure" : e.what();
+    }
+  }
+
+  const std::function<fennellane::Config()> read_;
+  const std::string state_;
+  const fennellane::ProcessPlace place_;
+  fennellane::Config config_;
+  std::optional<fennellane::Journal> journal_;
+  std::optional<fennellane::Relay> relay_;
+};
+
+int take_over(int channel, const std::function<fennellane::Config()>& read, const std::string& state,
+              const fennellane::ProcessPlace& place) {
+  TakingOver successor(read, state, place);
+  fennellane::upgrade::NewProcess process(fennellane::FileDescriptor(channel), successor,
+                                          [](const std::string& text) {
+                                            std::fprintf(stderr, "fennellane: the new process %d: %s\n",
+                                                         static_cast<int>(::getpid()), text.c_str());
+                                          });
+  if (!process.run()) return 1;
+  successor.relay().watch_old(process.take_channel());
+  successor.relay().run();
+  return 0;
+}
+
+int serve(const std::string& config_path, const std::string& settings_path, const std::string& state,
+          const fennellane::upgrade::CommandLine& command) {
+  namespace upgrade = fennellane::upgrade;
+  const int channel = upgrade::taken_variable(upgrade::kHandoverVariable);
+  const int watcher = upgrade::taken_variable(upgrade::kWatcherVariable);
+  const auto read = [&] { return fennellane::read_config(config_path, settings_path); };
+  const fennellane::ProcessPlace place{command, watcher};
+  if (channel >= 0) return take_over(channel, read, state, place);
   try {
-    const auto read = [&] { return fennellane::read_config(config_path, settings_path); };
-    fennellane::Relay relay(read(), state, read);
+    fennellane::Config config = read();
+    if (config.upgrade && watcher < 0) return upgrade::watch_over(command, state);
+    if (watcher >= 0) upgrade::die_with(watcher);
+    fennellane::FileDescriptor lock = fennellane::lock_journal(state, config.limits.lock_wait);
+    fennellane::Journal journal(state, config.limits.journal_file);
+    fennellane::Relay relay(std::move(config), state, read, std::move(lock), std::move(journal), place);
     relay.run();
     return 0;
   } catch (const fennellane::ConfigError& e) {
@@ -61,6 +141,15 @@
   CLI::App* check_command =
       app.add_subcommand("check-config", "read the configuration and say what it holds");
   add_config(check_command);
+  CLI::App* upgrade_command =
+      app.add_subcommand("upgrade", "let a new process take over from the one that serves");
+  upgrade_command->add_option("--state", state, "the folder of the relay that serves")
+      ->envname("GW_STATE")
+      ->required();
+  int wait_s = 15;
+  upgrade_command->add_option("--wait", wait_s, "seconds to wait for what comes of it")
+      ->check(CLI::Range(1, 3600))
+      ->capture_default_str();
   CLI::App* version_command = app.add_subcommand("version", "print the version");
   CLI11_PARSE(app, argc, argv);
   try {
@@ -68,7 +157,12 @@
       std::printf("fennellane %s\n", FENNELLANE_VERSION);
       return 0;
     }
-    return check_command->parsed() ? check(config, settings) : serve(config, settings, state);
+    if (upgrade_command->parsed()) {
+      return fennellane::upgrade::ask_for_upgrade(state, std::chrono::seconds(wait_s));
+    }
+    return check_command->parsed()
+               ? check(config, settings)
+               : serve(config, settings, state, fennellane::upgrade::command_line(argc, argv));
   } catch (const std::exception& e) {
     std::fprintf(stderr, "fennellane: %s\n", e.what());
     return 1;
--- a/src/membership/damping.hpp
+++ b/src/membership/damping.hpp
@@ -23,6 +23,11 @@
   // Whether the count has come down so far that nothing is to be remembered.
   bool idle(Time now, const DampingSettings& settings) const { return count(now, settings) < 0.5; }
 
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(count_, at_);
+  }
+
  private:
   double count(Time now, const DampingSettings& settings) const;
 
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -94,6 +95,10 @@
   void each_instance(Take take) const {
     for (const auto& [id, host] : hosts_) take(host.service, host.told);
   }
+  // All of it, as bytes, for another process with the same settings.
+  std::string save();
+  void load(std::string_view bytes);  // before anything else; throws starlinghook::MemoryError
+
   // All that is remembered.
   std::size_t records() const { return hosts_.size() + gone_before_.size(); }
 
@@ -105,9 +110,13 @@
     bool suppressed = false;
     std::optional<Time> lost_at;  // no longer named, and not believed yet
     std::optional<HostEntry> listed;
+    template <class Archive>
+    void serialize(Archive& archive);
   };
   using Hosts = std::unordered_map<std::string, Host>;
 
+  template <class Archive>
+  void remember(Archive& archive);
   void take_one(Time now, std::uint32_t service, const Instance& instance);
   void lose(Time now, const ServiceAnswer& answer, MembershipChange& change);
   void remove(Time now, Hosts::iterator it);
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -5,6 +5,8 @@
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 
+#include "memory.hpp"
+
 namespace fennellane {
 
 Discovery::Discovery(asio::io_context& io, const Config& config, const Address& address, Counters& counters,
@@ -38,6 +40,21 @@
   pause_.cancel();
 }
 
+std::string Discovery::save() const {
+  return written_memory([this](MemoryWriter& archive) { archive(address_, version_, have_list_); });
+}
+void Discovery::load(std::string_view bytes) {
+  read_memory(bytes, "the watch", [this](MemoryReader& archive) {
+    Address address;
+    std::uint64_t version = 0;
+    bool have_list = false;
+    archive(address, version, have_list);
+    if (address != address_) return;
+    version_ = version;
+    have_list_ = have_list;
+  });
+}
+
 std::string Discovery::request(const std::string& target) const {
   return "GET " + target + " HTTP/1.1\r\nHost: " + address_.text() + "\r\n\r\n";
 }
--- a/src/platform/discovery.hpp
+++ b/src/platform/discovery.hpp
@@ -23,6 +23,9 @@
   // Discovery is at another address now: its versions are of its own, so the whole list is fetched anew. The
   // list that is held stands until then.
   void redirect(const Address& address);
+  // Where the watch stands, for another process, which takes it up there. Of another address it is of no use.
+  std::string save() const;
+  void load(std::string_view bytes);  // before `start`; throws starlinghook::MemoryError
 
  private:
   asio::awaitable<void> run();
--- a/src/platform/notices.cpp
+++ b/src/platform/notices.cpp
@@ -7,6 +7,8 @@
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 
+#include "memory.hpp"
+
 namespace fennellane {
 
 std::string notice_line(const PostNotice& notice) {
@@ -44,6 +46,13 @@
   pause_.cancel();
 }
 
+std::string Notices::save() const {
+  return written_memory([this](MemoryWriter& archive) { archive(lines_); });
+}
+void Notices::load(std::string_view bytes) {
+  read_memory(bytes, "the notices", [this](MemoryReader& archive) { archive(lines_); });
+}
+
 asio::awaitable<unsigned> Notices::deliver(std::size_t count) {
   const Limits& limits = config_.limits;
   std::string body;
--- a/src/platform/notices.hpp
+++ b/src/platform/notices.hpp
@@ -20,11 +20,18 @@
   void start();
   void post(const PostNotice& notice);
   void redirect(const Address& address);  // what is owed goes there from now on
+  // What is owed, for another process, which owes it from then on: what was on its way goes once more.
+  std::string save() const;
+  void load(std::string_view bytes);  // before `start`; throws starlinghook::MemoryError
 
  private:
   struct Line {
     StreamId stream = 0;
     std::string text;
+    template <class Archive>
+    void serialize(Archive& archive) {
+      archive(stream, text);
+    }
   };
   asio::awaitable<void> run();
   asio::awaitable<unsigned> deliver(std::size_t count);  // the answer's status, or 0
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -17,15 +17,16 @@
 
 }  // namespace
 
-Relay::Relay(Config config, const std::string& state_folder, std::function<Config()> reread)
+Relay::Relay(Config config, const std::string& state_folder, std::function<Config()> reread,
+             FileDescriptor lock, Journal journal, ProcessPlace place)
     : config_(std::move(config)),
       reread_(std::move(reread)),
       state_folder_(state_folder),
       discovery_address_(config_.discovery),
       io_(1),
       log_(config_.name, config_.log),
-      lock_(lock_journal(state_folder, config_.limits.lock_wait)),
-      journal_(state_folder, config_.limits.journal_file),
+      lock_(std::move(lock)),
+      journal_(std::move(journal)),
       reducer_(config_.boot.settings, config_.limits, journal_.next_stream(), counters_),
       upstream_(io_, config_, counters_, [this](const CallEnded& ended) { input(ended); }),
       notices_(io_, config_, counters_, log_, [this](StreamId stream) { input(NoticeTaken{stream}); }),
@@ -36,14 +37,28 @@
                   }),
       timer_(io_),
       stop_timer_(io_),
-      signals_(io_, SIGTERM, SIGINT, SIGUSR1) {
-  signals_.add(SIGHUP);
-}
+      signals_(io_, {SIGTERM, SIGINT, SIGHUP, SIGUSR1, SIGUSR2}),
+      place_(std::move(place)),
+      old_timer_(io_) {}
 
 void Relay::run() {
   std::signal(SIGPIPE, SIG_IGN);  // a log that nobody reads must not end the relay
+  std::signal(SIGXFSZ, SIG_IGN);  // nor a file that may not grow
+  signals_.start([this](int number) { on_signal(number); });
+  if (adopted_) {
+    go_on();
+  } else {
+    begin();
+  }
+  io_.run();
+  // Guards against ending a connection whose request has come and has not been answered.
+  io_.restart();
+  io_.poll();
+  print_counters();
+}
+
+void Relay::begin() {
   downstream_.listen();
-  await_signal();
   input(Started{});
   if (!config_.known.hosts.empty()) take_list(config_.known, config_.source != MembershipSource::list);
   restore();
@@ -52,11 +67,7 @@
   if (!config_.known.hosts.empty()) set_ready();
   if (config_.platform) notices_.start();
   take_source(config_);
-  io_.run();
-  // Guards against ending a connection whose request has come and has not been answered.
-  io_.restart();
-  io_.poll();
-  print_counters();
+  upgrade();
 }
 
 void Relay::restore() {
@@ -96,7 +107,11 @@
   // Without a platform the log is all that hears of it, and the end is recorded right after.
   ++counters_.unnoticed;
   log_("undelivered", e.id + (e.verdict == Verdict::deferred ? ": deferred" : ": undeliverable"));
-  asio::post(io_, [this, stream = e.stream] { input(NoticeTaken{stream}); });
+  unheard_.push_back(e.stream);
+  asio::post(io_, [this] { end_unheard(); });
+}
+void Relay::end_unheard() {
+  for (const StreamId stream : std::exchange(unheard_, {})) input(NoticeTaken{stream});
 }
 void Relay::carry(SetTimer& e) {
   timer_.expires_at(steady_clock::time_point(duration_cast<steady_clock::duration>(e.at)));
@@ -106,18 +121,16 @@
 }
 void Relay::carry(Say& e) { log_("module", e.text); }
 
-void Relay::await_signal() {
-  signals_.async_wait([this](asio::error_code error, int signal) {
-    if (error) return;
-    if (signal == SIGUSR1) {
-      print_counters();
-    } else if (signal == SIGHUP) {
-      reload();
-    } else if (!stopping_) {
-      stop();
-    }
-    await_signal();
-  });
+void Relay::on_signal(int number) {
+  if (number == SIGUSR1) return print_counters();
+  if (number == SIGHUP) return reload();
+  if (number != SIGUSR2) return stopping_ ? void() : stop();
+  if (!upgrade_ || stopping_) {
+    return log_("upgrade", stopping_ ? "the relay is stopping"
+                                     : "upgrades are off: the settings have no section for them");
+  }
+  if (!upgrade_->busy()) reloaded_ = false;
+  upgrade_->ask();
 }
 
 void Relay::set_ready() {
@@ -142,6 +155,7 @@
     case MembershipSource::platform:
       log_("membership", "from the platform, at " + wanted.discovery.text());
       discovery_ = std::make_shared<Discovery>(io_, config_, wanted.discovery, counters_, log_, on_list);
+      if (inherited_source_ == wanted.source && !inherited_watch_.empty()) discovery_->load(inherited_watch_);
       return discovery_->start();
     case MembershipSource::list:
       log_("membership", "from the settings, " + std::to_string(wanted.known.hosts.size()) + " hosts");
@@ -152,6 +166,7 @@
           io_, *wanted.consul,
           ConsulPlace{config_.name, wanted.seed, {config_.boot.zones, config_.boot.kinds}, state_folder_},
           config_.limits, counters_, log_, on_list, before.get());
+      if (inherited_source_ == wanted.source && !inherited_watch_.empty()) consul_->load(inherited_watch_);
       if (ready_) consul_->set_ready();
       consul_->start();
   }
@@ -160,6 +175,7 @@
 // A new file is taken whole or not at all: one that cannot be used changes nothing. What is held, out or owed
 // goes on, and discovery's list stands until the new address has sent one.
 void Relay::reload() {
+  reloaded_ = true;
   try {
     const Config wanted = reread_();
     for (const std::string& part : fixed_parts_changed(config_, wanted)) {
@@ -186,6 +202,7 @@
   stopping_ = true;
   const Limits& limits = config_.limits;
   log_("", "stopping");
+  if (upgrade_) upgrade_->call_off("the relay is to stop");
   input(StopAsked{steady_now() + limits.stop_total - limits.stop_margin});
   downstream_.send_away();
   if (consul_) consul_->leave();
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -3,11 +3,12 @@
 #pragma once
 
 #include <asio/io_context.hpp>
-#include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "cluster_source.hpp"
 #include "config.hpp"
@@ -18,20 +19,54 @@
 #include "journal.hpp"
 #include "log.hpp"
 #include "notices.hpp"
+#include "old_process.hpp"
 #include "reducer.hpp"
+#include "signals.hpp"
 #include "upstream.hpp"
 
 namespace fennellane {
 
-class Relay {
+// How its process was started, and by whom; for upgrades.
+struct ProcessPlace {
+  upgrade::CommandLine command;
+  pid_t watcher = -1;  // -1: none
+};
+
+class Relay : private upgrade::Upgradable {
  public:
-  // `reread` gives the configuration as it stands now; throws ConfigError.
-  Relay(Config config, const std::string& state_folder,
-        std::function<Config()> reread);  // throws ConfigError, JournalError
+  // `lock`: on the state folder; none for one that takes over. `reread` gives the configuration as it stands
+  // now; throws ConfigError.
+  Relay(Config config, const std::string& state_folder, std::function<Config()> reread, FileDescriptor lock,
+        Journal journal, ProcessPlace place);
+
+  // Until SIGTERM or SIGINT, and a while after it, or until another process has taken over. Throws
+  // ConfigError, JournalError.
+  void run();
 
-  void run();  // until SIGTERM or SIGINT, and a while after it
+  // Instead of a fresh start: stands where another process stood, with its descriptors, once it runs. The
+  // journal must be as the other left it. Touches nothing. Throws std::exception; it is of no use then.
+  void load(const std::string& state, DescriptorsIn& descriptors);
+  void claim(Generation generation) { journal_.claim(generation); }  // throws JournalError
+  // Open for as long as the process is there that this one has taken over from.
+  void watch_old(FileDescriptor channel);
 
  private:
+  std::string save(DescriptorsOut& descriptors) override;
+  std::uint64_t journal_bytes() const override { return journal_.size(); }
+  void fence(handover::Generation to) override { journal_.fence(to); }
+  void reclaim(handover::Generation as) override { journal_.claim(as); }
+  void upgrade_started(pid_t new_process) override;
+  void upgrade_failed(const std::string& why) override;
+  [[noreturn]] void leave(pid_t new_process) override;
+  [[noreturn]] void start_anew() override;
+  template <class Archive>
+  void remember_parts(Archive& archive);
+  void begin();
+  void go_on();
+  void old_ended();
+  void upgrade();
+  void end_unheard();
+
   void input(const Input& input);
   void carry(RecordTaken& e);
   void carry(RecordAttempt& e);
@@ -49,7 +84,7 @@
   void carry(Say& e);
 
   void restore();
-  void await_signal();
+  void on_signal(int number);
   void stop();
   void reload();
   // Where the list comes from now; the list that stands does so until the new source has one.
@@ -65,7 +100,7 @@
   asio::io_context io_;
   Log log_;
   Counters counters_;
-  const FileDescriptor lock_;  // on the state folder
+  FileDescriptor lock_;  // on the state folder
   Journal journal_;
   Reducer reducer_;
   Upstream upstream_;
@@ -75,9 +110,24 @@
   Downstream downstream_;
   asio::steady_timer timer_;  // the module's
   asio::steady_timer stop_timer_;
-  asio::signal_set signals_;
+  Signals signals_;
+  std::vector<StreamId> unheard_;  // undelivered ends without a platform, recorded in the loop's next turn
   bool ready_ = false;
   bool stopping_ = false;
+
+  const ProcessPlace place_;
+  std::unique_ptr<upgrade::OldProcess> upgrade_;  // none: upgrades are off
+  std::uint64_t upgrades_ = 0;                    // that have ended, well or not
+  bool reloaded_ = false;                         // since the newest upgrade began
+  // Of a process that has taken over, until it runs.
+  bool adopted_ = false;
+  Time stood_still_since_{};
+  pid_t old_process_ = -1;
+  MembershipSource inherited_source_{};
+  std::string inherited_watch_;
+  FileDescriptor old_channel_;
+  std::optional<asio::posix::stream_descriptor> old_end_;
+  asio::steady_timer old_timer_;
 };
 
 }  // namespace fennellane
--- /dev/null
+++ b/src/relay/relay_upgrade.cpp
@@ -0,0 +1,194 @@
+// The relay's part in a handover to a new process, and from an old one.
+#include <unistd.h>
+
+#include <asio/post.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <utility>
+
+#include "clock.hpp"
+#include "memory.hpp"
+#include "relay.hpp"
+#include "run_file.hpp"
+#include "watch.hpp"
+
+namespace fennellane {
+namespace {
+
+// Raised with each change of what is listed below: another version's bytes are not read.
+constexpr std::uint32_t kMemoryVersion = 1;
+
+// What only a restart can change, as it goes along.
+struct FixedParts {
+  std::string name, listen;
+  wire::SettingsMap settings;
+  explicit FixedParts(const Config& config)
+      : name(config.name), listen(config.listen.text()), settings(config.settings) {}
+  FixedParts() = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(name, listen, settings);
+  }
+  std::string changed(const FixedParts& wanted) const {
+    if (name != wanted.name) return "name";
+    if (listen != wanted.listen) return "listen";
+    return settings != wanted.settings ? "settings" : "";
+  }
+};
+
+std::string ms_text(Time span) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.1f ms", static_cast<double>(span.count()) / 1000);
+  return text;
+}
+
+}  // namespace
+
+template <class Archive>
+void Relay::remember_parts(Archive& archive) {
+  static_assert(std::is_trivially_copyable_v<Counters>);
+  std::uint64_t size = sizeof counters_;
+  archive(size);
+  if (size != sizeof counters_) throw starlinghook::MemoryError("the counters are of another version");
+  archive(cereal::binary_data(&counters_, sizeof counters_));
+  archive(unheard_, ready_, upgrades_);
+}
+
+std::string Relay::save(DescriptorsOut& descriptors) {
+  return written_memory([&](MemoryWriter& archive) {
+    archive(kMemoryVersion, FixedParts(config_), steady_now(), ::getpid(), descriptors.add(lock_.get()));
+    remember_parts(archive);
+    archive(reducer_.save(), upstream_.save(descriptors), downstream_.save(descriptors), notices_.save());
+    const bool consul = consul_ != nullptr;
+    archive(consul       ? MembershipSource::consul
+            : discovery_ ? MembershipSource::platform
+                         : MembershipSource::list,
+            consul       ? consul_->save()
+            : discovery_ ? discovery_->save()
+                         : std::string());
+  });
+}
+
+void Relay::load(const std::string& state, DescriptorsIn& descriptors) {
+  read_memory(state, "the relay's state", [&](MemoryReader& archive) {
+    std::uint32_t version = 0;
+    archive(version);
+    if (version != kMemoryVersion) {
+      throw starlinghook::MemoryError("the relay's state is of version " + std::to_string(version));
+    }
+    FixedParts parts;
+    std::uint32_t lock = 0;
+    archive(parts, stood_still_since_, old_process_, lock);
+    const std::string changed = parts.changed(FixedParts(config_));
+    if (!changed.empty()) throw starlinghook::MemoryError(changed + " has changed and needs a restart");
+    lock_ = descriptors.take(lock);
+    remember_parts(archive);
+    std::string reducer, upstream, downstream, notices;
+    archive(reducer, upstream, downstream, notices, inherited_source_, inherited_watch_);
+    reducer_.load(config_.boot.settings, reducer, [this](StreamId stream) {
+      const auto it = journal_.held().find(stream);
+      return it == journal_.held().end() ? Body() : it->second.body;
+    });
+    upstream_.load(upstream, descriptors);
+    downstream_.load(downstream, descriptors);
+    notices_.load(notices);
+  });
+  adopted_ = true;
+}
+
+// Clients first: they are the ones who wait.
+void Relay::go_on() {
+  upstream_.resume();
+  downstream_.resume();
+  const Time pause = steady_now() - stood_still_since_;
+  if (reducer_.next_timer() != Time::max()) {
+    SetTimer timer{reducer_.next_timer()};
+    carry(timer);
+  }
+  if (!unheard_.empty()) asio::post(io_, [this] { end_unheard(); });
+  if (config_.platform) notices_.start();
+  if (ready_) downstream_.set_ready();
+  take_source(config_);
+  inherited_watch_.clear();
+  log_("upgrade", "serves after " + ms_text(pause) + ", with " + std::to_string(journal_.held().size()) +
+                      " messages, " + std::to_string(downstream_.connections()) + " clients, " +
+                      std::to_string(upstream_.calls()) + " calls out");
+  upgrade();
+}
+
+// Makes upgrades possible, where they are wanted.
+void Relay::upgrade() {
+  if (!config_.upgrade) return;
+  const UpgradeSettings& wanted = *config_.upgrade;
+  upgrade::CommandLine command = place_.command;
+  if (!wanted.program.empty()) command.program = command.arguments.front() = wanted.program;
+  handover::Limits limits;
+  limits.start = wanted.start;
+  limits.state = wanted.state;
+  limits.taken = wanted.taken;
+  upgrade_ =
+      std::make_unique<upgrade::OldProcess>(io_, std::move(command), place_.watcher, journal_.generation(),
+                                            limits, static_cast<upgrade::Upgradable&>(*this), log_);
+  if (adopted_) {
+    old_end_.emplace(io_, old_channel_.release());
+    return old_ended();
+  }
+  upgrade::write_run_file(state_folder_, {::getpid(), 0, upgrades_, true, "no upgrade yet"});
+}
+
+void Relay::watch_old(FileDescriptor channel) { old_channel_ = std::move(channel); }
+
+// Waits for the old process to be gone, and looks after what it may not have done.
+void Relay::old_ended() {
+  const auto when_gone = [this] {
+    constexpr std::chrono::milliseconds kLook{5};
+    // Its files close before its children have another parent.
+    if (::getppid() == old_process_) {
+      old_timer_.expires_after(kLook);
+      return old_timer_.async_wait([this](asio::error_code error) {
+        if (!error) old_ended();
+      });
+    }
+    old_end_.reset();
+    if (place_.watcher > 0) upgrade::die_with(place_.watcher);
+    const auto file = upgrade::read_run_file(state_folder_);
+    if (!file || file->pid != ::getpid()) {
+      upgrade::write_run_file(
+          state_folder_, {::getpid(), 0, ++upgrades_, true, "the old process died, and this one serves"});
+    } else {
+      upgrades_ = file->tries;
+    }
+  };
+  old_end_->async_wait(asio::posix::stream_descriptor::wait_read, [when_gone](asio::error_code error) {
+    if (!error) when_gone();
+  });
+}
+
+void Relay::upgrade_started(pid_t new_process) {
+  upgrade::write_run_file(state_folder_,
+                          {::getpid(), new_process, upgrades_, true, "an upgrade is under way"});
+}
+
+void Relay::upgrade_failed(const std::string& why) {
+  upgrade::write_run_file(state_folder_, {::getpid(), 0, ++upgrades_, false, why});
+}
+
+// Everything that is open stays open in the other process, so nothing is closed but by this one's end.
+void Relay::leave(pid_t new_process) {
+  upgrade::write_run_file(state_folder_, {new_process, 0, upgrades_ + 1, true,
+                                          "process " + std::to_string(new_process) + " serves"});
+  if (reloaded_) ::kill(new_process, SIGHUP);
+  while (const std::optional<int> number = signals_.take()) {
+    if (*number != SIGUSR2) ::kill(new_process, *number);
+  }
+  log_("upgrade", "process " + std::to_string(new_process) + " has taken over");
+  std::_Exit(0);
+}
+
+void Relay::start_anew() {
+  log_("upgrade", "begins again from the journal");
+  upgrade::become(place_.command, place_.watcher);
+  std::_Exit(1);
+}
+
+}  // namespace fennellane
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -205,6 +205,7 @@
   compare(running.listen.text() == wanted.listen.text(), "listen");
   compare(running.allowance == wanted.allowance, "limits");
   compare(running.settings == wanted.settings, "settings");
+  compare(running.upgrade == wanted.upgrade, "upgrade");
   return parts;
 }
 
--- a/src/settings/config.hpp
+++ b/src/settings/config.hpp
@@ -12,6 +12,7 @@
 #include "limits.hpp"
 #include "log_settings.hpp"
 #include "settings.hpp"
+#include "upgrade_settings.hpp"
 
 namespace fennellane {
 
@@ -31,6 +32,7 @@
   MembershipSource source = MembershipSource::platform;
   std::optional<ConsulSettings> consul;
   LogSettings log;
+  std::optional<UpgradeSettings> upgrade;  // none: upgrades are off
   bool keeps_list = false;  // a settings file is there, so a list may have to be kept on the disk
   std::uint64_t seed = 0;
   Allowance allowance;
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -255,6 +255,14 @@
   const std::string form = text_of(in["log"], "form", "plain");
   config.log.form = form == "json" ? LogForm::json : form == "logfmt" ? LogForm::logfmt : LogForm::plain;
   config.log.most_lines = count_of(in["log"], "lines", config.log.most_lines);
+  if (in.isMember("upgrade")) {
+    UpgradeSettings upgrade;
+    upgrade.program = text_of(in["upgrade"], "program", "");
+    upgrade.start = ms_of(in["upgrade"], "start-ms", upgrade.start);
+    upgrade.state = ms_of(in["upgrade"], "state-ms", upgrade.state);
+    upgrade.taken = ms_of(in["upgrade"], "taken-ms", upgrade.taken);
+    config.upgrade = std::move(upgrade);
+  }
   const std::string source = text_of(in, "membership", platform ? "platform" : "list");
   if (source == "platform") {
     if (!config.platform) file.fail("membership", "there is no platform: expected list or consul");
--- /dev/null
+++ b/src/upgrade/command.cpp
@@ -0,0 +1,32 @@
+#include "command.hpp"
+
+#include <signal.h>
+
+#include <cstdio>
+#include <thread>
+
+#include "run_file.hpp"
+
+namespace fennellane::upgrade {
+
+int ask_for_upgrade(const std::string& state_folder, std::chrono::seconds wait) {
+  const auto before = read_run_file(state_folder);
+  if (!before || ::kill(before->pid, SIGUSR2) != 0) {
+    std::fprintf(stderr, "fennellane: no relay that can be upgraded serves from %s\n", state_folder.c_str());
+    return 1;
+  }
+  constexpr std::chrono::milliseconds kLook{10};
+  const auto end = std::chrono::steady_clock::now() + wait;
+  while (std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(kLook);
+    const auto now = read_run_file(state_folder);
+    if (!now || now->tries == before->tries) continue;
+    std::printf("%s\n", now->last.c_str());
+    return now->good ? 0 : 1;
+  }
+  std::fprintf(stderr, "fennellane: process %d has not said how the upgrade went; see its log\n",
+               static_cast<int>(before->pid));
+  return 1;
+}
+
+}  // namespace fennellane::upgrade
--- /dev/null
+++ b/src/upgrade/launch.cpp
@@ -0,0 +1,135 @@
+#include "launch.hpp"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/syscall.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdlib>
+#include <cstring>
+#include <filesystem>
+#include <system_error>
+
+#include "number.hpp"
+
+extern char** environ;
+
+namespace fennellane::upgrade {
+namespace {
+
+constexpr int kChannel = 3;  // in the started process
+constexpr int kMostPid = 1 << 30;
+
+[[noreturn]] void fail(int error, const std::string& what) {
+  throw std::system_error(error, std::generic_category(), what);
+}
+
+std::vector<char*> pointers(std::vector<std::string>& texts) {
+  std::vector<char*> all;
+  for (std::string& text : texts) all.push_back(text.data());
+  all.push_back(nullptr);
+  return all;
+}
+
+std::vector<std::string> environment_with(pid_t watcher, bool takes_over) {
+  std::vector<std::string> all;
+  for (char** variable = environ; *variable != nullptr; ++variable) {
+    const std::string text = *variable;
+    if (text.starts_with(std::string(kHandoverVariable) + "=")) continue;
+    if (text.starts_with(std::string(kWatcherVariable) + "=")) continue;
+    all.push_back(text);
+  }
+  all.push_back(std::string(kWatcherVariable) + "=" + std::to_string(watcher));
+  if (takes_over) all.push_back(std::string(kHandoverVariable) + "=" + std::to_string(kChannel));
+  return all;
+}
+
+class SpawnPlan {
+ public:
+  SpawnPlan() {
+    posix_spawn_file_actions_init(&files_);
+    posix_spawnattr_init(&attributes_);
+    sigset_t none;
+    sigemptyset(&none);
+    posix_spawnattr_setsigmask(&attributes_, &none);
+    posix_spawnattr_setflags(&attributes_, POSIX_SPAWN_SETSIGMASK);
+  }
+  ~SpawnPlan() {
+    posix_spawn_file_actions_destroy(&files_);
+    posix_spawnattr_destroy(&attributes_);
+  }
+  SpawnPlan(const SpawnPlan&) = delete;
+  SpawnPlan& operator=(const SpawnPlan&) = delete;
+  posix_spawn_file_actions_t* files() { return &files_; }
+  posix_spawnattr_t* attributes() { return &attributes_; }
+
+ private:
+  posix_spawn_file_actions_t files_{};
+  posix_spawnattr_t attributes_{};
+};
+
+}  // namespace
+
+CommandLine command_line(int argc, char** argv) {
+  CommandLine command;
+  command.arguments.assign(argv, argv + argc);
+  const std::string name = argc > 0 ? argv[0] : "";
+  std::error_code error;
+  // A name without a slash was found by PATH; the running file's own path is the one that was.
+  command.program = name.find('/') != std::string::npos
+                        ? std::filesystem::absolute(name, error).string()
+                        : std::filesystem::read_symlink("/proc/self/exe", error).string();
+  if (error) command.program = name;
+  return command;
+}
+
+int taken_variable(const char* name) {
+  const char* const text = std::getenv(name);
+  if (text == nullptr) return -1;
+  const auto number = whole_number(text, kMostPid);
+  ::unsetenv(name);
+  return number ? static_cast<int>(*number) : -1;
+}
+
+Child launch(const CommandLine& command, pid_t watcher, bool takes_over) {
+  int ends[2] = {-1, -1};
+  if (takes_over && ::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, ends) != 0)
+    fail(errno, "no connection");
+  Child child;
+  child.channel = FileDescriptor(ends[0]);
+  const FileDescriptor theirs(ends[1]);
+  SpawnPlan plan;
+  if (takes_over) posix_spawn_file_actions_adddup2(plan.files(), theirs.get(), kChannel);
+  // Guards against clients' connections staying open in a process that knows nothing of them.
+  posix_spawn_file_actions_addclosefrom_np(plan.files(), takes_over ? kChannel + 1 : kChannel);
+  std::vector<std::string> arguments = command.arguments;
+  std::vector<std::string> environment = environment_with(watcher, takes_over);
+  const int error = ::posix_spawn(&child.pid, command.program.c_str(), plan.files(), plan.attributes(),
+                                  pointers(arguments).data(), pointers(environment).data());
+  if (error != 0) fail(error, command.program);
+  child.life = FileDescriptor(static_cast<int>(::syscall(SYS_pidfd_open, child.pid, 0)));
+  if (child.life.get() < 0) {
+    const int why = errno;
+    ::kill(child.pid, SIGKILL);
+    ::waitpid(child.pid, nullptr, 0);
+    fail(why, "the new process cannot be watched");
+  }
+  return child;
+}
+
+void become(const CommandLine& command, pid_t watcher) {
+  ::close_range(kChannel, ~0U, CLOSE_RANGE_CLOEXEC);
+  sigset_t none;
+  sigemptyset(&none);
+  ::sigprocmask(SIG_SETMASK, &none, nullptr);
+  std::vector<std::string> arguments = command.arguments;
+  std::vector<std::string> environment = environment_with(watcher, false);
+  // The file that runs, whatever has its name now.
+  ::execve("/proc/self/exe", pointers(arguments).data(), pointers(environment).data());
+}
+
+}  // namespace fennellane::upgrade
--- /dev/null
+++ b/src/upgrade/old_process.hpp
@@ -0,0 +1,107 @@
+// The old side of a handover in a running process: starts the new program, hands over and leaves, or serves
+// on. What it decides is handover::OldSide's.
+//
+// While its relay is frozen the loop stands still: this waits for the new process by itself, so nothing else
+// runs, and after a thaw everything goes on where it was.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/steady_timer.hpp>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "channel.hpp"
+#include "handover.hpp"
+#include "launch.hpp"
+#include "log.hpp"
+
+namespace fennellane::upgrade {
+
+// What is asked of the relay.
+class Upgradable {
+ public:
+  virtual ~Upgradable() = default;
+  // All that another process needs to go on. The descriptors stay the relay's.
+  virtual std::string save(DescriptorsOut& descriptors) = 0;
+  virtual std::uint64_t journal_bytes() const = 0;
+  // The journal's last record of this owner, and its taking back. Both throw std::exception.
+  virtual void fence(handover::Generation to) = 0;
+  virtual void reclaim(handover::Generation as) = 0;
+  virtual void upgrade_started(pid_t new_process) = 0;
+  virtual void upgrade_failed(const std::string& why) = 0;
+  // The new process serves, and this one ends, without a word to its peers.
+  [[noreturn]] virtual void leave(pid_t new_process) = 0;
+  // This one begins again from the journal.
+  [[noreturn]] virtual void start_anew() = 0;
+};
+
+class OldProcess {
+ public:
+  OldProcess(asio::io_context& io, CommandLine command, pid_t watcher, handover::Generation generation,
+             const handover::Limits& limits, Upgradable& relay, Log& log);
+
+  void ask();                             // for an upgrade
+  void call_off(const std::string& why);  // one that is under way; the new process is killed
+  bool busy() const { return side_.busy(); }
+
+ private:
+  void give(handover::OldInput input);
+  void carry(const handover::StartPeer& e);
+  void carry(const handover::Send& e);
+  void carry(const handover::Freeze& e);
+  void carry(const handover::SendState& e);
+  void carry(const handover::WriteFence& e);
+  void carry(const handover::KillPeer& e);
+  void carry(const handover::Thaw& e);
+  void carry(const handover::Leave& e);
+  void carry(const handover::StartAnew& e);
+  void carry(const handover::SetTimer& e);
+  void carry(const handover::StopTimer& e);
+  void carry(const handover::Say& e);
+
+  void hear();
+  void flush();
+  void queue_state();
+  void bury();
+  void time_due();
+  void await_word();
+  void await_end();
+  void stand_still();
+
+  asio::io_context& io_;
+  const CommandLine command_;
+  const pid_t watcher_;
+  const handover::Limits limits_;
+  Upgradable& relay_;
+  Log& log_;
+  handover::OldSide side_;
+  std::deque<handover::OldInput> inputs_;
+  bool at_work_ = false;
+  bool trying_ = false;
+  bool frozen_ = false;
+  std::string said_;  // why the newest try has failed
+
+  // Of the newest try; none between two.
+  struct Peer {
+    Child child;
+    Channel channel;
+    bool hears = true;  // the channel may still bring something
+    asio::posix::stream_descriptor ear, life;
+  };
+  std::unique_ptr<Peer> peer_;
+  struct Sending {
+    std::string state;
+    std::size_t sent = 0;
+    DescriptorsOut descriptors;
+    std::size_t descriptors_sent = 0;
+    bool ended = false;  // all of it is queued
+  };
+  std::optional<Sending> sending_;
+  std::optional<handover::Time> due_;
+  asio::steady_timer timer_;
+};
+
+}  // namespace fennellane::upgrade
--- /dev/null
+++ b/src/upgrade/watch.cpp
@@ -0,0 +1,143 @@
+#include "watch.hpp"
+
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <deque>
+#include <optional>
+#include <thread>
+
+#include "run_file.hpp"
+
+namespace fennellane::upgrade {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// A process that takes over from a dead one has all it needs, or ends: this long is for the first.
+constexpr std::chrono::seconds kTakeOver{2};
+constexpr std::chrono::seconds kResend{2};
+constexpr milliseconds kLook{2};
+constexpr std::size_t kMostResent = 16;
+
+bool is_child(pid_t pid) {
+  siginfo_t info{};
+  return ::waitid(P_PID, static_cast<id_t>(pid), &info, WEXITED | WNOHANG | WNOWAIT) == 0;
+}
+
+bool any_child() {
+  siginfo_t info{};
+  return ::waitid(P_ALL, 0, &info, WEXITED | WNOHANG | WNOWAIT) == 0;
+}
+
+int end_like(int status) {
+  if (WIFEXITED(status)) return WEXITSTATUS(status);
+  const int number = WTERMSIG(status);
+  const rlimit no_core{0, 0};
+  ::setrlimit(RLIMIT_CORE, &no_core);
+  ::signal(number, SIG_DFL);
+  sigset_t none;
+  sigemptyset(&none);
+  ::sigprocmask(SIG_SETMASK, &none, nullptr);
+  ::raise(number);
+  return 128 + number;
+}
+
+class Watcher {
+ public:
+  Watcher(pid_t serving, std::string state_folder)
+      : serving_(serving), state_folder_(std::move(state_folder)) {}
+
+  void hand_on(int number) {
+    const auto now = steady_clock::now();
+    while (!sent_.empty() && (sent_.size() >= kMostResent || now - sent_.front().at > kResend))
+      sent_.pop_front();
+    sent_.push_back({number, now});
+    ::kill(serving_, number);
+  }
+
+  // The status that the relay has ended with, once none of its processes goes on.
+  std::optional<int> reap() {
+    int status = 0;
+    for (pid_t pid; (pid = ::waitpid(-1, &status, WNOHANG)) > 0;) {
+      if (pid != serving_) continue;
+      const int ended = status;
+      const std::optional<pid_t> next = successor();
+      if (!next) return ended;
+      serving_ = *next;
+      // Guards against a signal that the process before was handed and did not live to look at.
+      const auto now = steady_clock::now();
+      for (const Sent& s : sent_) {
+        if (s.number != SIGUSR2 && now - s.at <= kResend) ::kill(serving_, s.number);
+      }
+    }
+    return std::nullopt;
+  }
+
+ private:
+  struct Sent {
+    int number;
+    steady_clock::time_point at;
+  };
+
+  std::optional<pid_t> successor() {
+    const auto end = steady_clock::now() + kTakeOver;
+    std::optional<RunFile> file;
+    while (any_child()) {
+      file = read_run_file(state_folder_);
+      if (file && file->pid != serving_ && is_child(file->pid)) return file->pid;
+      if (file && (file->next <= 0 || !is_child(file->next))) return std::nullopt;
+      // It may have ended, which is why nobody serves.
+      siginfo_t info{};
+      if (file && ::waitid(P_PID, static_cast<id_t>(file->next), &info, WEXITED | WNOHANG) == 0 &&
+          info.si_pid == file->next) {
+        return std::nullopt;
+      }
+      if (steady_clock::now() > end) {
+        // Guards against one that hangs and would serve later, unwatched.
+        if (file) ::kill(file->next, SIGKILL);
+        return std::nullopt;
+      }
+      std::this_thread::sleep_for(kLook);
+    }
+    return std::nullopt;
+  }
+
+  pid_t serving_;
+  const std::string state_folder_;
+  std::deque<Sent> sent_;
+};
+
+}  // namespace
+
+int watch_over(const CommandLine& command, const std::string& state_folder) {
+  sigset_t set;
+  sigemptyset(&set);
+  for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGUSR1, SIGUSR2, SIGCHLD}) sigaddset(&set, number);
+  ::sigprocmask(SIG_BLOCK, &set, nullptr);
+  ::prctl(PR_SET_CHILD_SUBREAPER, 1, 0, 0, 0);
+  remove_run_file(state_folder);  // of an earlier life
+  const Child child = launch(command, ::getpid(), false);
+  Watcher watcher(child.pid, state_folder);
+  while (true) {
+    int number = 0;
+    if (::sigwait(&set, &number) != 0) continue;
+    if (number != SIGCHLD) {
+      watcher.hand_on(number);
+    } else if (const std::optional<int> ended = watcher.reap()) {
+      return end_like(*ended);
+    }
+  }
+}
+
+void die_with(pid_t watcher) {
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL, 0, 0, 0);
+  if (::getppid() != watcher) ::raise(SIGKILL);
+}
+
+}  // namespace fennellane::upgrade
--- /dev/null
+++ b/src/upgrade/watch.hpp
@@ -0,0 +1,19 @@
+// The process that stays while the relay's own come and go by upgrades: the one that a supervisor knows. It
+// starts the relay, hands signals on to whichever process serves, and ends as that one does.
+#pragma once
+
+#include <string>
+
+#include "launch.hpp"
+
+namespace fennellane::upgrade {
+
+// Returns the exit code; where the relay was ended by a signal, this process is ended by the same. Throws
+// std::system_error where nothing can be started.
+int watch_over(const CommandLine& command, const std::string& state_folder);
+
+// In a process that serves: should its watcher die, it is killed at once, so that whoever kills the one has
+// killed the relay.
+void die_with(pid_t watcher);
+
+}  // namespace fennellane::upgrade
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -432,6 +432,7 @@
     Time now = seconds(100), timer = Time::max();
     std::vector<StartCall> out;
     std::vector<StreamId> notices;
+    std::map<StreamId, Body> bodies;
     std::string wrong;
     const auto give = [&](const Input& input) {
       const std::vector<Effect> first = one.reduce(now, input);
@@ -445,6 +446,7 @@
           wrong = text_of(first[i]) + " is not " + text_of(second[i]);
         }
         if (const auto* t = std::get_if<SetTimer>(&first[i])) timer = t->at;
+        if (const auto* r = std::get_if<RecordTaken>(&first[i])) bodies[r->stream] = r->entry.body;
         if (const auto* c = std::get_if<StartCall>(&first[i])) out.push_back(*c);
         if (const auto* n = std::get_if<PostNotice>(&first[i])) notices.push_back(n->stream);
       }
@@ -458,7 +460,7 @@
     for (int step = 0; step < 300 && wrong.empty(); ++step) {
       if (step >= 30 && step % 5 == 0) {
         other = std::make_unique<Reducer>(config.boot.settings, config.limits, 1, others);
-        other->load(config.boot.settings, one.save());
+        other->load(config.boot.settings, one.save(), [&](StreamId id) { return bodies[id]; });
         ASSERT_EQ(other->records(), one.records());
       }
       const unsigned kind = random() % 10;
@@ -507,7 +509,8 @@
   const std::string bytes = one.save();
   for (std::size_t size = 0; size < bytes.size(); ++size) {
     Reducer other(config.boot.settings, config.limits, 1, counters);
-    EXPECT_THROW(other.load(config.boot.settings, std::string_view(bytes).substr(0, size)),
+    EXPECT_THROW(other.load(config.boot.settings, std::string_view(bytes).substr(0, size),
+                            [](StreamId) { return Body(); }),
                  starlinghook::MemoryError)
         << size;
   }
