Test upgrades with each process failing at each step, in the middle of everything

Need: the hard cases are each to be caused: crash, hang and kill of either side at each step, both, no program, a bad configuration, a full disk, too few descriptors, SIGTERM, SIGHUP and a second upgrade, discovery down. Change: tests on the program itself with a call of each class out, an idle client and half a request; failures on order by FENNELLANE_FAULTS. The count of upgrades goes along, since the next one may be asked for before the new process has looked at the file: found by the first test, which waited for ever.

--- a/src/relay/relay_upgrade.cpp
+++ b/src/relay/relay_upgrade.cpp
@@ -51,7 +51,10 @@
   archive(size);
   if (size != sizeof counters_) throw starlinghook::MemoryError("the counters are of another version");
   archive(cereal::binary_data(&counters_, sizeof counters_));
-  archive(unheard_, ready_, upgrades_);
+  // With the one that is under way: the new process may be asked for the next at once.
+  std::uint64_t upgrades = upgrades_ + 1;
+  archive(unheard_, ready_, upgrades);
+  if (Archive::is_loading::value) upgrades_ = upgrades;
 }
 
 std::string Relay::save(DescriptorsOut& descriptors) {
@@ -152,12 +155,9 @@
     old_end_.reset();
     if (place_.watcher > 0) upgrade::die_with(place_.watcher);
     const auto file = upgrade::read_run_file(state_folder_);
-    if (!file || file->pid != ::getpid()) {
-      upgrade::write_run_file(
-          state_folder_, {::getpid(), 0, ++upgrades_, true, "the old process died, and this one serves"});
-    } else {
-      upgrades_ = file->tries;
-    }
+    if (file && file->pid == ::getpid()) return;
+    upgrade::write_run_file(state_folder_,
+                            {::getpid(), 0, upgrades_, true, "the old process died, and this one serves"});
   };
   old_end_->async_wait(asio::posix::stream_descriptor::wait_read, [when_gone](asio::error_code error) {
     if (!error) when_gone();
--- a/tests/relay_fixture.hpp
+++ b/tests/relay_fixture.hpp
@@ -6,6 +6,7 @@
 #include <signal.h>
 
 #include <asio.hpp>
+#include <atomic>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -111,6 +112,8 @@
     }
     return false;
   }
+  void take_notices(bool takes) { takes_notices_ = takes; }
+  std::vector<Request> requests() const { return server_.requests(); }
   std::size_t watches() const {
     const auto all = server_.requests();
     return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [](const Request& r) {
@@ -120,7 +123,8 @@
 
  private:
   std::string handle(const Request& r) {
-    if (r.target == "/v1/notices") return answer("204 No Content");
+    if (r.target == "/v1/notices")
+      return answer(takes_notices_ ? "204 No Content" : "503 Service Unavailable");
     if (r.target == "/discovery/hosts") return answer("200 OK", list_);
     std::ostringstream chunk;
     chunk << std::hex << first_watch_.size() << "\r\n" << first_watch_ << "\r\n";
@@ -128,6 +132,7 @@
   }
   std::string list_;
   std::string first_watch_;
+  std::atomic<bool> takes_notices_ = true;
   Server server_;
 };
 
--- /dev/null
+++ b/tests/upgrade_test.cpp
@@ -0,0 +1,394 @@
+// Upgrades of the program itself: each process that takes part fails at each step, and messages, calls and
+// clients are in the middle of everything meanwhile.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <sys/resource.h>
+
+#include <condition_variable>
+
+#include "command.hpp"
+#include "http_memory.hpp"
+#include "relay_fixture.hpp"
+#include "run_file.hpp"
+
+namespace fennellane {
+namespace {
+
+using namespace test;
+
+constexpr const char* kUp = "GET /up HTTP/1.1\r\n\r\n";
+// For upgrades that shall succeed on any machine, and for those that shall not.
+constexpr const char* kPatient = "(upgrade (start-ms 60000) (state-ms 60000) (taken-ms 60000))";
+constexpr const char* kHasty = "(upgrade (start-ms 700) (state-ms 300) (taken-ms 300))";
+
+// Closed, it holds back the answers of a partner.
+class Gate {
+ public:
+  ~Gate() { open(); }
+  void open() {
+    const std::scoped_lock lock(mutex_);
+    open_ = true;
+    changed_.notify_all();
+  }
+  void pass() {
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, seconds(60), [this] { return open_; });
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  bool open_ = false;
+};
+
+// A client on one connection that it keeps.
+class KeptClient {
+ public:
+  explicit KeptClient(const Program& relay) : socket_(relay.connected(io_)) {}
+  bool send(std::string_view text) {
+    asio::error_code error;
+    asio::write(socket_, asio::buffer(text), error);
+    return !error;
+  }
+  unsigned answer() {
+    HttpReader reader(HttpReader::Kind::response, 65536, 65536);
+    asio::error_code error;
+    char byte = 0;  // one at a time, as a second answer may be behind the first
+    while (!reader.done() && !reader.failed()) {
+      if (socket_.read_some(asio::buffer(&byte, 1), error) == 0 || error) return 0;
+      reader.feed({&byte, 1});
+    }
+    return reader.status();
+  }
+  std::string bytes(std::size_t count) {
+    std::string all(count, '\0');
+    asio::error_code error;
+    all.resize(asio::read(socket_, asio::buffer(all), error));
+    return all;
+  }
+  unsigned ask(std::string_view text) { return send(text) ? answer() : 0; }
+
+ private:
+  asio::io_context io_;
+  tcp::socket socket_;
+};
+
+// A relay with a `pay` and a `note` out at a partner that does not answer yet, an idle client, and one in the
+// middle of a request.
+class Scene {
+ public:
+  static constexpr std::size_t kBefore = 4;  // messages that are delivered before it begins
+  explicit Scene(const std::string& faults = "", const std::string& settings = kPatient)
+      : partner_([this](const Request& r) {
+          if (r.id == "p1" || r.id == "n1") gate_.pass();
+          return answer("200 OK");
+        }),
+        platform({{"s-1", partner_.address()}}),
+        relay(platform.address()) {
+    relay.replace_settings(settings);
+    set_faults(faults);
+    relay.set_variable("FENNELLANE_FAULTS", relay.folder() + "/faults");
+    relay.start();
+    idle = std::make_unique<KeptClient>(relay);
+    half = std::make_unique<KeptClient>(relay);
+    // The relay sends more at once to a host that has answered some.
+    for (std::size_t i = 1; i <= kBefore; ++i) {
+      EXPECT_EQ(idle->ask(request_text("w" + std::to_string(i))), 202u);
+      EXPECT_TRUE(happens([&] { return relay.counter("delivered") == i; }));
+    }
+    EXPECT_EQ(idle->ask(request_text("p1", "one", "pay")), 202u);
+    EXPECT_EQ(idle->ask(request_text("n1", "two")), 202u);
+    EXPECT_TRUE(happens([&] { return calls("p1") == 1 && calls("n1") == 1; }));
+    EXPECT_TRUE(half->send(request_.substr(0, request_.size() / 2)));
+  }
+  ~Scene() { gate_.open(); }
+  Scene(const Scene&) = delete;
+  Scene& operator=(const Scene&) = delete;
+  void set_faults(const std::string& faults) { std::ofstream(relay.folder() + "/faults") << faults; }
+  int upgrade() { return upgrade::ask_for_upgrade(relay.state_folder(), seconds(90)); }
+  std::size_t calls(const std::string& id) const { return partner_.count(id); }
+  pid_t serving() const { return upgrade::read_run_file(relay.state_folder())->pid; }
+
+  // Every message, call and client goes on where it was.
+  void expect_nothing_happened() {
+    EXPECT_EQ(idle->ask(kUp), 200u);
+    EXPECT_TRUE(half->send(request_.substr(request_.size() / 2)));
+    EXPECT_EQ(half->answer(), 202u);
+    EXPECT_TRUE(happens([&] { return calls("h1") == 1; }));
+    gate_.open();
+    EXPECT_TRUE(happens([&] { return relay.counter("delivered") == kBefore + 3; })) << relay.log();
+    EXPECT_EQ(calls("p1"), 1u);
+    EXPECT_EQ(calls("n1"), 1u);
+    EXPECT_EQ(relay.counter("restored"), 0u);
+    EXPECT_EQ(relay.counter("journal.held"), 0u);
+  }
+  // The relay has ended, as by a crash: its next life reads the journal.
+  void expect_a_crash() {
+    EXPECT_EQ(relay.end(0), -SIGKILL);
+    set_faults("");
+    relay.start();
+    EXPECT_TRUE(happens([&] { return platform.noticed(R"({"id":"p1","status":"undeliverable"})"); }));
+    gate_.open();
+    EXPECT_TRUE(happens([&] { return calls("n1") >= 2 && relay.counter("journal.held") == 0; }));
+    EXPECT_EQ(calls("p1"), 1u);
+  }
+
+ private:
+  const std::string request_ = request_text("h1", std::string(500, 'x'));
+  Gate gate_;
+  Server partner_;
+
+ public:
+  Platform platform;
+  Program relay;
+  std::unique_ptr<KeptClient> idle, half;
+};
+
+TEST(Upgrade, TakesOverAllThatIsUnderWayTimeAndAgain) {
+  Scene scene;
+  for (int i = 0; i < 5; ++i) {
+    const pid_t before = scene.serving();
+    ASSERT_EQ(scene.upgrade(), 0) << scene.relay.log();
+    ASSERT_NE(scene.serving(), before);
+    EXPECT_EQ(scene.idle->ask(kUp), 200u);
+  }
+  scene.expect_nothing_happened();
+  EXPECT_EQ(scene.relay.end(SIGTERM), 0);  // the first process still stands for them all
+}
+
+TEST(Upgrade, ANewProcessThatFailsBeforeItServesChangesNothing) {
+  for (const std::string step : {"checking", "accepted", "building", "ready", "serving"}) {
+    for (const std::string act : {"exit", "kill"}) {
+      Scene scene("new " + step + " " + act);
+      const pid_t before = scene.serving();
+      EXPECT_EQ(scene.upgrade(), 1) << step << act;
+      EXPECT_EQ(scene.serving(), before);
+      scene.set_faults("");
+      EXPECT_EQ(scene.upgrade(), 0) << "the next try after " << step << act << ": " << scene.relay.log();
+      scene.expect_nothing_happened();
+    }
+  }
+}
+
+TEST(Upgrade, ANewProcessThatHangsIsKilledAndChangesNothing) {
+  for (const std::string step : {"checking", "accepted", "building", "ready", "serving"}) {
+    Scene scene("new " + step + " hang", kHasty);
+    const pid_t before = scene.serving();
+    EXPECT_EQ(scene.upgrade(), 1) << step;
+    EXPECT_EQ(scene.serving(), before);
+    scene.expect_nothing_happened();
+  }
+}
+
+TEST(Upgrade, AnOldProcessThatDiesWithItsStateHandedOverIsFollowedByTheNewOne) {
+  for (const std::string step : {"awaiting", "fencing", "going", "left"}) {
+    Scene scene("old " + step + " kill");
+    const pid_t before = scene.serving();
+    EXPECT_EQ(scene.upgrade(), 0) << step << scene.relay.log();
+    EXPECT_NE(scene.serving(), before);
+    scene.expect_nothing_happened();
+  }
+}
+
+TEST(Upgrade, WhereNobodyIsLeftTheNextLifeReadsTheJournal) {
+  for (const std::string faults :
+       {"old starting kill", "old offered kill", "old sending kill", "new taken kill",
+        "old awaiting kill\nnew building kill", "old going kill\nnew claiming kill"}) {
+    Scene scene(faults);
+    scene.relay.signal(SIGUSR2);
+    scene.expect_a_crash();
+  }
+}
+
+TEST(Upgrade, RefusesWhatIsNoFitProgramAndSaysSo) {
+  Scene scene;
+  const pid_t before = scene.serving();
+  const auto try_with = [&](const std::string& settings) {
+    scene.relay.replace_settings(settings);
+    const int result = scene.upgrade();
+    scene.relay.replace_settings(kPatient);
+    EXPECT_EQ(scene.serving(), before);
+    EXPECT_EQ(scene.idle->ask(kUp), 200u);
+    return result == 0 ? "" : upgrade::read_run_file(scene.relay.state_folder())->last;
+  };
+  EXPECT_NE(try_with("(upgrade").find("settings"), std::string::npos);
+  EXPECT_NE(try_with("(log (lines 1000))").find("switch upgrades off"), std::string::npos);
+  scene.relay.replace_config(config_json({"127.0.0.1:2", scene.platform.address(), {}, 50, 3, 1024}));
+  EXPECT_NE(try_with(kPatient).find("listen has changed"), std::string::npos);
+  scene.relay.replace_config(config_json({scene.relay.address(), scene.platform.address(), {}, 60, 3, 1024}));
+  EXPECT_NE(try_with(kPatient).find("settings has changed"), std::string::npos);
+  scene.relay.replace_config(config_json({scene.relay.address(), scene.platform.address(), {}, 50, 3, 1024}));
+  EXPECT_EQ(scene.upgrade(), 0);
+  scene.expect_nothing_happened();
+}
+
+TEST(Upgrade, AProgramThatIsNoneOrIsShortOfDescriptorsChangesNothing) {
+  const Program place(refusing_address());  // only its folder is used
+  const std::string folder = place.folder();
+  std::ofstream(folder + "/short") << "#!/bin/sh\nulimit -n 16\nexec " << FENNELLANE_PROGRAM << " \"$@\"\n";
+  std::ofstream(folder + "/text") << "no program";
+  fs::permissions(folder + "/short", fs::perms::owner_all);
+  for (const std::string name : {"/nowhere", "/text", "/short"}) {
+    Scene scene("", "(upgrade (start-ms 60000) (state-ms 60000) (taken-ms 60000) (program \"" + folder +
+                        name + "\"))");
+    std::vector<std::unique_ptr<KeptClient>> more;
+    for (int i = 0; i < 10; ++i) {
+      more.push_back(std::make_unique<KeptClient>(scene.relay));
+      EXPECT_EQ(more.back()->ask(kUp), 200u);
+    }
+    EXPECT_EQ(scene.upgrade(), 1) << name;
+    scene.expect_nothing_happened();
+    const bool said = scene.relay.logged("not enough descriptors") > 0;
+    EXPECT_EQ(said, name == "/short") << scene.relay.log();
+  }
+}
+
+TEST(Upgrade, ADiskThatTakesNoFenceLeavesTheOldOneTheOwner) {
+  Scene scene;
+  const pid_t before = scene.serving();
+  const auto size = static_cast<rlim_t>(fs::file_size(scene.relay.state_folder() + "/journal"));
+  rlimit usual{};
+  ASSERT_EQ(prlimit(before, RLIMIT_FSIZE, nullptr, &usual), 0);
+  const rlimit full{size + 5, usual.rlim_max};  // a part of the record goes in
+  ASSERT_EQ(prlimit(before, RLIMIT_FSIZE, &full, nullptr), 0);
+  EXPECT_EQ(scene.upgrade(), 1);
+  ASSERT_EQ(prlimit(before, RLIMIT_FSIZE, &usual, nullptr), 0);
+  EXPECT_EQ(scene.serving(), before);
+  // The log may be as full as the journal.
+  EXPECT_NE(upgrade::read_run_file(scene.relay.state_folder())->last.find("the fence cannot be written"),
+            std::string::npos);
+  EXPECT_EQ(scene.upgrade(), 0) << scene.relay.log();
+  scene.expect_nothing_happened();
+}
+
+TEST(Upgrade, ASigtermDuringOneEndsBothInTime) {
+  Scene scene("new checking hang");
+  scene.relay.signal(SIGUSR2);
+  EXPECT_TRUE(happens([&] { return scene.relay.logged("is started") == 1; }));
+  scene.relay.signal(SIGUSR2);  // and a second one
+  EXPECT_TRUE(happens([&] { return scene.relay.logged("an upgrade is under way") == 1; }));
+  EXPECT_EQ(scene.relay.end(SIGTERM), 0);
+  EXPECT_EQ(scene.relay.logged("has ended with signal 9"), 1u);
+}
+
+TEST(Upgrade, ASighupDuringOneReachesTheOneThatServes) {
+  Scene scene;
+  scene.relay.signal(SIGUSR2);
+  scene.relay.signal(SIGHUP);
+  EXPECT_TRUE(happens([&] { return scene.relay.logged("has taken over") == 1; }));
+  EXPECT_TRUE(happens([&] { return scene.relay.counter("reloads") >= 1; })) << scene.relay.log();
+  scene.expect_nothing_happened();
+}
+
+TEST(Upgrade, WhoKillsTheFirstProcessHasKilledTheRelay) {
+  Scene scene;
+  EXPECT_EQ(scene.upgrade(), 0);
+  EXPECT_EQ(scene.relay.end(SIGKILL), -SIGKILL);
+  EXPECT_TRUE(happens([&] { return scene.relay.ask(kUp) == 0; }));
+  scene.relay.start();  // the folder is free
+  EXPECT_TRUE(happens([&] { return scene.platform.noticed(R"({"id":"p1","status":"undeliverable"})"); }));
+}
+
+// A told wait, a notice that is owed and the watch of discovery go along.
+TEST(Upgrade, EndsNoWaitAndForgetsNoNotice) {
+  std::mutex mutex;
+  std::vector<std::chrono::steady_clock::time_point> tries;
+  Server partner([&](const Request& r) {
+    const std::scoped_lock lock(mutex);
+    if (r.id == "bad") return std::string(kReset);
+    tries.push_back(std::chrono::steady_clock::now());
+    return tries.size() == 1 ? answer("429 Too Many Requests", "", "X-Come-Back-Ms: 3000\r\n")
+                             : answer("200 OK");
+  });
+  Platform platform({{"s-1", partner.address()}});
+  platform.take_notices(false);
+  Program relay(platform.address());
+  relay.replace_settings(kPatient);
+  relay.start();
+  EXPECT_EQ(relay.ask(request_text("bad", "x", "pay")), 202u);  // reset behind its last byte: in doubt
+  EXPECT_TRUE(happens([&] { return relay.counter("undeliverable") == 1; }));
+  EXPECT_EQ(relay.ask(request_text("w1")), 202u);
+  EXPECT_TRUE(happens([&] { return relay.counter("answer.full") == 1; }));
+  const std::size_t watches = platform.watches();
+  EXPECT_EQ(upgrade::ask_for_upgrade(relay.state_folder(), seconds(90)), 0) << relay.log();
+  EXPECT_TRUE(happens([&] { return platform.watches() > watches; }));
+  platform.take_notices(true);
+  EXPECT_TRUE(happens([&] { return relay.counter("notices_taken") == 1; }));
+  EXPECT_TRUE(happens([&] { return relay.counter("delivered") == 1; })) << relay.log();
+  const std::scoped_lock lock(mutex);
+  ASSERT_EQ(tries.size(), 2u);
+  EXPECT_GE(tries[1] - tries[0], milliseconds(2990));
+  std::size_t fetches = 0;
+  for (const Request& r : platform.requests()) fetches += r.target == "/discovery/hosts";
+  EXPECT_EQ(fetches, 1u);  // the new one took the watch up where the old one stood
+  EXPECT_EQ(relay.counter("journal.held"), 0u);
+}
+
+TEST(Upgrade, GoesOnWhileDiscoveryIsDown) {
+  Server partner([](const Request&) { return answer("200 OK"); });
+  ConfigParts parts;
+  parts.known = {{"s-1", partner.address()}};
+  Program relay(refusing_address(), parts);
+  relay.replace_settings(kPatient);
+  relay.start();
+  EXPECT_EQ(upgrade::ask_for_upgrade(relay.state_folder(), seconds(90)), 0) << relay.log();
+  EXPECT_EQ(relay.ask(request_text("a")), 202u);
+  EXPECT_TRUE(happens([&] { return relay.counter("delivered") == 1; }));
+}
+
+// More requests at once than their answers have room for, from a client that does not read yet.
+TEST(Upgrade, HalfWrittenAnswersAndUnreadRequestsGoAlong) {
+  Scene scene;
+  KeptClient piping(scene.relay);
+  constexpr int kRequests = 150000;
+  std::thread sender([&] {
+    std::string text;
+    for (int i = 0; i < kRequests; ++i) text += kUp;
+    EXPECT_TRUE(piping.send(text));
+  });
+  std::this_thread::sleep_for(milliseconds(300));
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(scene.upgrade(), 0);
+  const std::string answers = piping.bytes(kRequests * answer_text(200, false).size());
+  sender.join();
+  std::string expected;
+  for (int i = 0; i < kRequests; ++i) expected += answer_text(200, false);
+  EXPECT_TRUE(answers == expected) << answers.size();
+  scene.expect_nothing_happened();
+}
+
+// Wherever a message is cut, a reader in another process goes on with it as this one would have.
+RC_GTEST_PROP(ReaderMemory, GoesOnInTheMiddleOfAMessage,
+              (const std::vector<bool>& passes, std::uint32_t seed)) {
+  std::mt19937 random(seed);
+  const bool chunked = random() % 2 == 0;
+  std::string text = request_text("a7", std::string(random() % 300, 'b'));
+  if (chunked) {
+    text =
+        "POST /note HTTP/1.1\r\nX-Call-Id: a7\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n5\r\nhello\r\n3;x=y\r\nyou\r\n0\r\n\r\n";
+  }
+  if (random() % 4 == 0) text = garbage(text, random);
+  HttpReader whole(HttpReader::Kind::request, 16384, 65536);
+  for (std::string_view rest = text; !rest.empty() && !whole.done() && !whole.failed();)
+    rest.remove_prefix(whole.feed(rest));
+  auto reader = std::make_unique<HttpReader>(HttpReader::Kind::request, 16384, 65536);
+  std::size_t step = 0;
+  for (std::string_view piece : cut(text, random)) {
+    while (!piece.empty() && !reader->done() && !reader->failed()) piece.remove_prefix(reader->feed(piece));
+    if (reader->done() || reader->failed()) break;
+    if (passes.empty() || !passes[step++ % passes.size()]) continue;
+    const std::string bytes = written_memory([&](MemoryWriter& archive) { reader->remember(archive); });
+    reader = std::make_unique<HttpReader>(HttpReader::Kind::request, 16384, 65536);
+    read_memory(bytes, "a reader", [&](MemoryReader& archive) { reader->remember(archive); });
+  }
+  RC_ASSERT(reader->done() == whole.done());
+  RC_ASSERT(reader->refusal() == whole.refusal());
+  RC_ASSERT(reader->head_done() == whole.head_done());
+  RC_ASSERT(reader->target() == whole.target());
+  RC_ASSERT(reader->header("x-call-id") == whole.header("x-call-id"));
+  RC_ASSERT(reader->keep_alive() == whole.keep_alive());
+  RC_ASSERT(reader->take_body() == whole.take_body());
+}
+
+}  // namespace
+}  // namespace fennellane
--- a/tools/standin/relay_process.cpp
+++ b/tools/standin/relay_process.cpp
@@ -55,7 +55,8 @@
 void RelayProcess::replace_settings(const std::string& sexp) { replace("settings.sexp", sexp); }
 
 void RelayProcess::start() {
-  std::vector<std::string> variables = {"GW_STATE=" + state_folder()};
+  std::vector<std::string> variables = variables_;
+  variables.push_back("GW_STATE=" + state_folder());
   if (fs::exists(folder_ + "/config.json")) variables.push_back("GW_CONFIG=" + folder_ + "/config.json");
   if (fs::exists(folder_ + "/settings.sexp"))
     variables.push_back("GW_SETTINGS=" + folder_ + "/settings.sexp");
--- a/tools/standin/relay_process.hpp
+++ b/tools/standin/relay_process.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace fennellane::standin {
 
@@ -27,6 +28,10 @@
   void replace_config(const std::string& json);
   void replace_settings(const std::string& sexp);
 
+  // In the environment of its next lives.
+  void set_variable(const std::string& name, const std::string& value) {
+    variables_.push_back(name + "=" + value);
+  }
   // Returns once it is ready; throws std::runtime_error with its log if it does not become so.
   void start();
   // Its exit code, or the signal that ended it, as a negative number.
@@ -52,6 +57,7 @@
   void replace(const std::string& name, const std::string& text) const;
 
   const std::string program_;
+  std::vector<std::string> variables_;
   std::string folder_;
   std::uint16_t port_ = 0;
   pid_t pid_ = 0;
