Upgrade: follow by what the old process says, refuse what cannot be written down, test what goes along

Need: on a full disk the first process did not learn who serves, and would have killed it after 2 s; the command could signal a process that has got a dead relay's number.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "clock.hpp"
+#include "run_file.hpp"
 
 namespace fennellane {
 namespace {
@@ -55,6 +56,7 @@
   io_.restart();
   io_.poll();
   print_counters();
+  if (upgrade_) upgrade::remove_run_file(state_folder_);
 }
 
 void Relay::begin() {
--- a/src/relay/relay_upgrade.cpp
+++ b/src/relay/relay_upgrade.cpp
@@ -121,7 +121,7 @@
 
 // Makes upgrades possible, where they are wanted.
 void Relay::upgrade() {
-  if (!config_.upgrade) return;
+  if (!config_.upgrade) return upgrade::remove_run_file(state_folder_);  // of an earlier life
   const UpgradeSettings& wanted = *config_.upgrade;
   upgrade::CommandLine command = place_.command;
   if (!wanted.program.empty()) command.program = command.arguments.front() = wanted.program;
@@ -165,8 +165,11 @@
 }
 
 void Relay::upgrade_started(pid_t new_process) {
-  upgrade::write_run_file(state_folder_,
-                          {::getpid(), new_process, upgrades_, true, "an upgrade is under way"});
+  // Guards the watcher against not knowing whom to follow.
+  if (!upgrade::write_run_file(state_folder_,
+                               {::getpid(), new_process, upgrades_, true, "an upgrade is under way"})) {
+    throw JournalError("the state folder takes no file");
+  }
 }
 
 void Relay::upgrade_failed(const std::string& why) {
@@ -182,7 +185,7 @@
     if (*number != SIGUSR2) ::kill(new_process, *number);
   }
   log_("upgrade", "process " + std::to_string(new_process) + " has taken over");
-  std::_Exit(0);
+  std::_Exit(upgrade::kLeft);
 }
 
 void Relay::start_anew() {
--- a/src/upgrade/old_process.cpp
+++ b/src/upgrade/old_process.cpp
@@ -85,15 +85,16 @@
       peer_ = std::make_unique<Peer>(Peer{std::move(child), std::move(channel), true,
                                           asio::posix::stream_descriptor(io_, ear),
                                           asio::posix::stream_descriptor(io_, life)});
+      relay_.upgrade_started(pid);
     } catch (const std::exception&) {
       ::kill(pid, SIGKILL);
       ::waitpid(pid, nullptr, 0);
+      peer_.reset();
       throw;
     }
     await_word();
     await_end();
     log_("upgrade", "process " + std::to_string(pid) + " is started: " + command_.program);
-    relay_.upgrade_started(pid);
     give(Started{});
   } catch (const std::exception& e) {
     give(Started{e.what()});
--- a/src/upgrade/old_process.hpp
+++ b/src/upgrade/old_process.hpp
@@ -30,6 +30,7 @@
   // The journal's last record of this owner, and its taking back. Both throw std::exception.
   virtual void fence(handover::Generation to) = 0;
   virtual void reclaim(handover::Generation as) = 0;
+  // Throws std::exception where that cannot be written down; there is no upgrade then.
   virtual void upgrade_started(pid_t new_process) = 0;
   virtual void upgrade_failed(const std::string& why) = 0;
   // The new process serves, and this one ends, without a word to its peers.
--- a/src/upgrade/watch.cpp
+++ b/src/upgrade/watch.cpp
@@ -67,7 +67,7 @@
     for (pid_t pid; (pid = ::waitpid(-1, &status, WNOHANG)) > 0;) {
       if (pid != serving_) continue;
       const int ended = status;
-      const std::optional<pid_t> next = successor();
+      const std::optional<pid_t> next = successor(WIFEXITED(ended) && WEXITSTATUS(ended) == kLeft);
       if (!next) return ended;
       serving_ = *next;
       // Guards against a signal that the process before was handed and did not live to look at.
@@ -85,12 +85,14 @@
     steady_clock::time_point at;
   };
 
-  std::optional<pid_t> successor() {
+  // `left`: the one before has said that another serves.
+  std::optional<pid_t> successor(bool left) {
     const auto end = steady_clock::now() + kTakeOver;
     std::optional<RunFile> file;
     while (any_child()) {
       file = read_run_file(state_folder_);
       if (file && file->pid != serving_ && is_child(file->pid)) return file->pid;
+      if (left && file && file->next > 0 && is_child(file->next)) return file->next;
       if (file && (file->next <= 0 || !is_child(file->next))) return std::nullopt;
       // It may have ended, which is why nobody serves.
       siginfo_t info{};
@@ -121,7 +123,6 @@
   for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGUSR1, SIGUSR2, SIGCHLD}) sigaddset(&set, number);
   ::sigprocmask(SIG_BLOCK, &set, nullptr);
   ::prctl(PR_SET_CHILD_SUBREAPER, 1, 0, 0, 0);
-  remove_run_file(state_folder);  // of an earlier life
   const Child child = launch(command, ::getpid(), false);
   Watcher watcher(child.pid, state_folder);
   while (true) {
--- a/src/upgrade/watch.hpp
+++ b/src/upgrade/watch.hpp
@@ -8,6 +8,9 @@
 
 namespace fennellane::upgrade {
 
+// The code with which a process ends that has left its work to another.
+inline constexpr int kLeft = 88;
+
 // Returns the exit code; where the relay was ended by a signal, this process is ended by the same. Throws
 // std::system_error where nothing can be started.
 int watch_over(const CommandLine& command, const std::string& state_folder);
--- a/tests/consul_test.cpp
+++ b/tests/consul_test.cpp
@@ -1,4 +1,5 @@
 // The relay with Consul as its membership source, against the stand-in agent.
+#include "command.hpp"
 #include "consul_agent.hpp"
 #include "relay_fixture.hpp"
 
@@ -306,6 +307,35 @@
   EXPECT_TRUE(put("/v1/agent/service/deregister/relay-n0"));
 }
 
+// An upgrade keeps the list, the watch and the registration; the new process hears of drains as the old one
+// did.
+TEST_F(Consul, AnUpgradeKeepsTheListAndTheRegistration) {
+  relay.replace_settings(settings_text(agent.address(), "(register (service \"relay\") (ttl-ms 1000))") +
+                         "(upgrade (start-ms 60000) (state-ms 60000) (taken-ms 60000))");
+  relay.start();
+  const auto puts = [&](const std::string& part) {
+    const auto all = agent.puts();
+    return std::count_if(all.begin(), all.end(),
+                         [&](const standin::Put& p) { return p.target.find(part) != std::string::npos; });
+  };
+  ASSERT_TRUE(happens([&] { return puts("/check/pass/") > 0; }));
+  ASSERT_EQ(upgrade::ask_for_upgrade(relay.state_folder(), std::chrono::seconds(90)), 0) << relay.log();
+  const auto beats = puts("/check/pass/");
+  EXPECT_TRUE(happens([&] { return puts("/check/pass/") > beats + 1; }));
+  EXPECT_EQ(puts("/service/register"), 1);
+  EXPECT_EQ(puts("/service/deregister"), 0);
+  const std::uint64_t answers = relay.counter("consul.answers");
+  agent.set_status("bank", "b1", "critical");
+  ASSERT_TRUE(happens([&] { return relay.counter("consul.answers") > answers; }));
+  EXPECT_EQ(offer("held"), 202u);
+  std::this_thread::sleep_for(milliseconds(300));
+  EXPECT_EQ(host.count("held"), 0u);
+  agent.set_status("bank", "b1", "passing");
+  EXPECT_TRUE(happens([&] { return host.count("held") == 1; })) << relay.log();
+  EXPECT_EQ(relay.end(SIGTERM), 0);
+  EXPECT_EQ(puts("/service/deregister"), 1);
+}
+
 // Without a platform: undelivered ends go to the log and a counter, and are over with that.
 TEST(Alone, ServesWithTheSettingsFileOnly) {
   Server good([](const Request&) { return answer("200 OK"); });
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -3,7 +3,9 @@
 
 #include <gtest/gtest.h>
 #include <stdlib.h>
+#include <sys/resource.h>
 
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -201,6 +203,43 @@
   EXPECT_EQ(read.held().size(), 2u);
 }
 
+TEST_F(Owners, ARecordThatTheDiskTakesHalfOfIsNone) {
+  Journal journal(folder, kRoomy);
+  journal.taken(1, entry("a"));
+  std::signal(SIGXFSZ, SIG_IGN);
+  rlimit usual{};
+  ASSERT_EQ(getrlimit(RLIMIT_FSIZE, &usual), 0);
+  const rlimit full{static_cast<rlim_t>(journal.size() + 7), usual.rlim_max};
+  ASSERT_EQ(setrlimit(RLIMIT_FSIZE, &full), 0);
+  EXPECT_THROW(journal.fence(2), JournalError);
+  EXPECT_THROW(journal.taken(2, entry("b")), JournalError);
+  ASSERT_EQ(setrlimit(RLIMIT_FSIZE, &usual), 0);
+  EXPECT_TRUE(journal.owned());
+  journal.taken(3, entry("c"));
+  const Journal read(folder, kRoomy);
+  EXPECT_EQ(read.cut_bytes(), 0u);
+  EXPECT_EQ(read.held().size(), 2u);
+}
+
+// What an observer has read, it reads on from, also behind a compaction.
+TEST_F(Owners, AnObserverCatchesUp) {
+  Journal old(folder, 4000);
+  old.taken(1, entry("a"));
+  Journal next(folder, 4000, Journal::Access::observes);
+  for (StreamId i = 2; old.compactions() < 2; ++i) {
+    old.taken(i, entry("b" + std::to_string(i)));
+    if (i % 3 == 0) next.catch_up();
+    old.ended(i);
+  }
+  next.catch_up();
+  EXPECT_EQ(next.size(), old.size());
+  EXPECT_EQ(next.held().size(), 1u);
+  old.fence(2);
+  next.claim(2);
+  next.ended(1);
+  EXPECT_EQ(Journal(folder, 4000).held().size(), 0u);
+}
+
 TEST_F(Owners, TheOldOneTakesItBackWhereTheNextDidNothing) {
   Journal old(folder, kRoomy);
   old.taken(1, entry("a"));
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -87,6 +87,12 @@
     now += span;
     return note(membership.tick(now));
   }
+  void hand_over() {
+    const std::string bytes = membership.save();
+    std::destroy_at(&membership);
+    std::construct_at(&membership, settings.membership);
+    membership.load(bytes);
+  }
   std::string condition(const std::string& id) const {
     const auto it = listed.find(id);
     if (it == listed.end()) return "gone";
@@ -207,6 +213,8 @@
   Pipeline p(settings);
   std::vector<World> worlds(kServices);
   for (const Op& op : steps) {
+    // Another process takes over.
+    if (op.value == 1) p.hand_over();
     const auto service = static_cast<std::uint32_t>(op.service);
     change(worlds[service], op);
     p.take(service, hosts_of(worlds[service]), op.value != 3);
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -73,6 +73,7 @@
       {"(limits (sockets 64.5))", "s:1: limits.sockets: expected an integer, not 64.5"},
       {"(limits (disk-mb 1e400))", "s:1: limits.disk-mb: expected a number, not 1e400"},
       {"\n(limits\n(sockets 3))", "s:3: limits.sockets: "},
+      {kLeast + "(upgrade (state-ms 5))", "s:3: upgrade.state-ms: "},
       {kLeast + "(log (form \"xml\"))", "s:3: log.form: "},
       {kLeast + kHost + "(host (id \"b\") (destination 7))", "s:4: host[1]: "},
       {kLeast + kHost + kHost, "s:4: host[1].id: another host has this id: a"},
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -249,7 +249,10 @@
   const auto size = static_cast<rlim_t>(fs::file_size(scene.relay.state_folder() + "/journal"));
   rlimit usual{};
   ASSERT_EQ(prlimit(before, RLIMIT_FSIZE, nullptr, &usual), 0);
-  const rlimit full{size + 5, usual.rlim_max};  // a part of the record goes in
+  const rlimit nothing{1, usual.rlim_max};  // not even that an upgrade is under way
+  ASSERT_EQ(prlimit(before, RLIMIT_FSIZE, &nothing, nullptr), 0);
+  EXPECT_EQ(upgrade::ask_for_upgrade(scene.relay.state_folder(), seconds(1)), 1);
+  const rlimit full{size + 5, usual.rlim_max};  // a part of the fence's record goes in
   ASSERT_EQ(prlimit(before, RLIMIT_FSIZE, &full, nullptr), 0);
   EXPECT_EQ(scene.upgrade(), 1);
   ASSERT_EQ(prlimit(before, RLIMIT_FSIZE, &usual, nullptr), 0);
@@ -289,6 +292,20 @@
   EXPECT_TRUE(happens([&] { return scene.platform.noticed(R"({"id":"p1","status":"undeliverable"})"); }));
 }
 
+TEST(Upgrade, IsRefusedWhereItIsOffAndAsksNobodyThatIsNoRelay) {
+  Platform platform({});
+  Program relay(platform.address());
+  relay.start();
+  EXPECT_EQ(upgrade::ask_for_upgrade(relay.state_folder(), seconds(1)), 1);
+  relay.signal(SIGUSR2);
+  EXPECT_TRUE(happens([&] { return relay.logged("upgrades are off") == 1; }));
+  EXPECT_EQ(relay.ask(kUp), 200u);
+  EXPECT_EQ(relay.end(SIGTERM), 0);
+  // A file of a life that is over names this process.
+  ASSERT_TRUE(upgrade::write_run_file(relay.state_folder(), {::getpid(), 0, 0, true, ""}));
+  EXPECT_EQ(upgrade::ask_for_upgrade(relay.state_folder(), seconds(1)), 1);
+}
+
 // A told wait, a notice that is owed and the watch of discovery go along.
 TEST(Upgrade, EndsNoWaitAndForgetsNoNotice) {
   std::mutex mutex;
--- a/tools/measure_upgrade.cpp
+++ b/tools/measure_upgrade.cpp
@@ -339,13 +339,17 @@
     if (!before) return false;
     const bool kill_new = random() % 2 == 0;
     // As long as an upgrade takes, and a little more.
-    const auto wait = std::chrono::microseconds(random() % 40000);
+    const auto wait = std::chrono::microseconds(random() % 15000);
     relay.signal(SIGUSR2);
     std::this_thread::sleep_for(wait);
     const auto now = upgrade::read_run_file(relay.state_folder());
     const pid_t target = kill_new ? (now->next > 0 ? now->next : now->pid) : before->pid;
     ::kill(target, SIGKILL);
-    std::this_thread::sleep_for(milliseconds(300));
+    // As a supervisor does that starts it again at once.
+    const Moment looked = steady_clock::now();
+    while (relay.runs() && steady_clock::now() - looked < milliseconds(250)) {
+      std::this_thread::sleep_for(milliseconds(2));
+    }
     std::string end;
     if (!relay.runs()) {
       relay.start();
