Upgrade command waits for the end of an upgrade, not the beginning of the next; faster test

Need: on a full disk a failure could not be written down, and the next upgrade's beginning was taken for its end: found by the sanitizer run, where processes start slowly. One relay test took 52 s, as its host rested.

--- a/src/upgrade/channel.cpp
+++ b/src/upgrade/channel.cpp
@@ -84,7 +84,10 @@
         descriptors_.add(FileDescriptor(fd));
       }
     }
-    if ((message.msg_flags & MSG_CTRUNC) != 0) throw ChannelError("there are not enough descriptors");
+    if ((message.msg_flags & MSG_CTRUNC) != 0) {
+      descriptors_ = DescriptorsIn();  // what is said of it may need one
+      throw ChannelError("there are not enough descriptors");
+    }
     if (n == 0) return false;
     reader_.feed(std::string_view(piece).substr(0, static_cast<std::size_t>(n)));
   }
--- a/src/upgrade/command.cpp
+++ b/src/upgrade/command.cpp
@@ -35,7 +35,8 @@
   while (std::chrono::steady_clock::now() < end) {
     std::this_thread::sleep_for(kLook);
     const auto now = read_run_file(state_folder);
-    if (!now || now->tries == before->tries) continue;
+    // The count of one that could not be written down, on a full disk, comes with the next one's beginning.
+    if (!now || now->next != 0 || now->tries == before->tries) continue;
     std::printf("%s\n", now->last.c_str());
     return now->good ? 0 : 1;
   }
--- a/src/upgrade/watch.cpp
+++ b/src/upgrade/watch.cpp
@@ -21,7 +21,7 @@
 
 // A process that takes over from a dead one has all it needs, or ends: this long is for the first.
 constexpr std::chrono::seconds kTakeOver{2};
-constexpr std::chrono::seconds kResend{2};
+constexpr milliseconds kResend{200};
 constexpr milliseconds kLook{2};
 constexpr std::size_t kMostResent = 16;
 
