Test that a drain told during an upgrade holds

Need: the old process's watch never tells of it; the new one has to hear it at once. Change: a test whose next watch begins with the drain.

--- a/tests/relay_fixture.hpp
+++ b/tests/relay_fixture.hpp
@@ -112,6 +112,11 @@
     }
     return false;
   }
+  // What the next watch hears first.
+  void set_watch(const std::string& text) {
+    const std::scoped_lock lock(mutex_);
+    first_watch_ = text;
+  }
   void take_notices(bool takes) { takes_notices_ = takes; }
   std::vector<Request> requests() const { return server_.requests(); }
   std::size_t watches() const {
@@ -126,11 +131,13 @@
     if (r.target == "/v1/notices")
       return answer(takes_notices_ ? "204 No Content" : "503 Service Unavailable");
     if (r.target == "/discovery/hosts") return answer("200 OK", list_);
+    const std::scoped_lock lock(mutex_);
     std::ostringstream chunk;
     chunk << std::hex << first_watch_.size() << "\r\n" << first_watch_ << "\r\n";
     return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk.str();
   }
   std::string list_;
+  std::mutex mutex_;
   std::string first_watch_;
   std::atomic<bool> takes_notices_ = true;
   Server server_;
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -362,6 +362,23 @@
   EXPECT_EQ(relay.counter("journal.held"), 0u);
 }
 
+// The old process's watch never tells of it.
+TEST(Upgrade, ADrainToldMeanwhileHolds) {
+  Server partner([](const Request&) { return answer("200 OK"); });
+  Platform platform({{"s-1", partner.address()}});
+  Program relay(platform.address());
+  relay.replace_settings(kPatient);
+  relay.start();
+  EXPECT_EQ(relay.ask(request_text("a")), 202u);
+  EXPECT_TRUE(happens([&] { return partner.count("a") == 1 && platform.watches() == 1; }));
+  platform.set_watch(list_json({{"s-1", partner.address(), 7, "draining"}}, 2, false) + "\n");
+  EXPECT_EQ(upgrade::ask_for_upgrade(relay.state_folder(), seconds(90)), 0) << relay.log();
+  EXPECT_TRUE(happens([&] { return relay.counter("lists") == 2; })) << relay.log();
+  EXPECT_EQ(relay.ask(request_text("b")), 202u);
+  std::this_thread::sleep_for(milliseconds(300));
+  EXPECT_EQ(partner.count("b"), 0u);
+}
+
 TEST(Upgrade, GoesOnWhileDiscoveryIsDown) {
   Server partner([](const Request&) { return answer("200 OK"); });
   ConfigParts parts;
