Test that an old process short of descriptors serves on

Need: the issue names descriptors that run out; so far only the new process ran short of them. Change: the old one has none left for the connection, says so, serves on, and the next try succeeds.

--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -275,6 +275,21 @@
   scene.expect_nothing_happened();
 }
 
+TEST(Upgrade, AnOldProcessWithoutADescriptorServesOn) {
+  Scene scene;
+  const pid_t before = scene.serving();
+  rlimit usual{};
+  ASSERT_EQ(prlimit(before, RLIMIT_NOFILE, nullptr, &usual), 0);
+  const rlimit none{3, usual.rlim_max};
+  ASSERT_EQ(prlimit(before, RLIMIT_NOFILE, &none, nullptr), 0);
+  EXPECT_EQ(upgrade::ask_for_upgrade(scene.relay.state_folder(), seconds(1)), 1);
+  EXPECT_TRUE(happens([&] { return scene.relay.logged("the new program cannot be started") == 1; }));
+  ASSERT_EQ(prlimit(before, RLIMIT_NOFILE, &usual, nullptr), 0);
+  EXPECT_EQ(scene.serving(), before);
+  EXPECT_EQ(scene.upgrade(), 0) << scene.relay.log();
+  scene.expect_nothing_happened();
+}
+
 TEST(Upgrade, ASigtermDuringOneEndsBothInTime) {
   Scene scene("new checking hang");
   scene.relay.signal(SIGUSR2);
