A reload that changes nothing of Consul leaves its watches and registration alone

Need: with SIGHUP the registration was given back while the new one was made; if the two crossed, the relay was missing from Consul until its next beat. Change: equal settings, the token included, keep the source that stands.

--- a/src/consul/consul_source.hpp
+++ b/src/consul/consul_source.hpp
@@ -39,6 +39,7 @@
   void leave() override;
   void set_ready() override;
 
+  const ConsulSettings& settings() const { return settings_; }
   // What is known of each service and whether the relay is registered, for another process. It is of no use
   // to one whose services are others.
   std::string save();
--- a/src/membership/damping.hpp
+++ b/src/membership/damping.hpp
@@ -13,6 +13,7 @@
   double reuse = 1.5;   // until it has come down to this
   Time half_life = std::chrono::seconds(15);
   Time most = std::chrono::seconds(60);  // that a return may wait
+  bool operator==(const DampingSettings&) const = default;
 };
 
 class Damping {
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -58,6 +58,7 @@
   double most_loss = 0.5;  // share of a destination's hosts
   Time loss_hold = std::chrono::seconds(60);
   DampingSettings damping;
+  bool operator==(const MembershipSettings&) const = default;
 };
 
 struct MembershipChange {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -192,6 +192,10 @@
       log_("reload", "discovery is at " + wanted.discovery.text());
       return discovery_->redirect(wanted.discovery);
     }
+    // Guards the relay's registration against being given back and made anew at once, which may cross.
+    if (wanted.source == MembershipSource::consul && consul_ && consul_->settings() == *wanted.consul) {
+      return log_("reload", "nothing of Consul has changed");
+    }
     take_source(wanted);
   } catch (const ConfigError& e) {
     log_("reload", std::string("the old configuration stays: ") + e.what());
--- a/src/settings/consul_settings.hpp
+++ b/src/settings/consul_settings.hpp
@@ -50,6 +50,7 @@
   ConsulMetaKeys meta;
   MembershipSettings membership;
   std::optional<ConsulRegistration> registration;
+  bool operator==(const ConsulSettings&) const = default;
 };
 
 }  // namespace fennellane
--- a/tests/consul_test.cpp
+++ b/tests/consul_test.cpp
@@ -294,6 +294,8 @@
     return std::any_of(puts.begin(), puts.end(), [&](const standin::Put& p) { return p.target == target; });
   };
   EXPECT_TRUE(happens([&] { return put("/v1/agent/check/pass/service:relay-n0"); })) << relay.log();
+  relay.signal(SIGHUP);  // with the same settings
+  EXPECT_TRUE(happens([&] { return relay.logged("nothing of Consul has changed") == 1; })) << relay.log();
   const std::string body = agent.puts().front().body;
   EXPECT_NE(body.find("\"ID\":\"relay-n0\""), std::string::npos) << body;
   EXPECT_NE(body.find("\"TTL\":\"1000ms\""), std::string::npos) << body;
