Call what was there instead of writing it again, in the change of the upgrade

Need: read once more, the change held twins: a search for names, the lock on the state folder, a file that is replaced whole, points in time for timers, the comparison of what only a restart can change, the check of a memory's version, and in the measurements the percentile and a process's memory; a member held a descriptor for a moment only. Change: find_position, journal_is_locked, replace_file, steady_now and steady_moment, fixed_parts_changed, versions in written_memory and read_memory, tools/standin/figures.hpp; memory is read where it stands instead of from a copy; five tests of the relay share a fixture, their assertions as they were. The file that says who serves leaves no half file on a full disk now, as the kept list does.

--- a/src/base/names.hpp
+++ b/src/base/names.hpp
@@ -3,14 +3,23 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fennellane {
 
+inline std::optional<std::uint32_t> find_position(const std::vector<std::string>& names,
+                                                  std::string_view name) {
+  const auto it = std::find(names.begin(), names.end(), name);
+  if (it == names.end()) return std::nullopt;
+  return static_cast<std::uint32_t>(it - names.begin());
+}
+
 // Past the end for a name that is not there.
-inline std::uint32_t position_of(const std::vector<std::string>& names, const std::string& name) {
-  return static_cast<std::uint32_t>(std::find(names.begin(), names.end(), name) - names.begin());
+inline std::uint32_t position_of(const std::vector<std::string>& names, std::string_view name) {
+  return find_position(names, name).value_or(static_cast<std::uint32_t>(names.size()));
 }
 
 }  // namespace fennellane
--- a/src/consul/consul_source.cpp
+++ b/src/consul/consul_source.cpp
@@ -7,11 +7,6 @@
 #include "memory.hpp"
 
 namespace fennellane {
-namespace {
-
-using std::chrono::steady_clock;
-
-}  // namespace
 
 ConsulSource::ConsulSource(asio::io_context& io, const ConsulSettings& settings, ConsulPlace place,
                            const Limits& limits, Counters& counters, Log& log, OnList on_list,
@@ -140,7 +135,7 @@
     due_.cancel();
     return;
   }
-  due_.expires_at(steady_clock::time_point(std::chrono::duration_cast<steady_clock::duration>(next)));
+  due_.expires_at(steady_moment(next));
   due_.async_wait([weak = weak_from_this()](asio::error_code error) {
     const auto self = weak.lock();
     if (!error && self && !self->stopped_) self->tell(self->membership_.tick(steady_now()));
--- a/src/consul/list_store.cpp
+++ b/src/consul/list_store.cpp
@@ -1,6 +1,5 @@
 #include "list_store.hpp"
 
-#include <fcntl.h>
 #include <json/json.h>
 #include <unistd.h>
 #include <zstd.h>
@@ -14,8 +13,8 @@
 #include <sstream>
 
 #include "config.hpp"
-#include "descriptor.hpp"
 #include "names.hpp"
+#include "replace_file.hpp"
 
 namespace fennellane {
 namespace {
@@ -92,22 +91,7 @@
     return "the list takes " + std::to_string(packed.size()) + " bytes and may take " +
            std::to_string(most_bytes_) + ": it is not kept";
   }
-  const std::string fresh = path(kNewName);
-  {
-    const FileDescriptor file(::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644));
-    if (file.get() < 0) return failure("cannot keep the list");
-    for (std::size_t done = 0; done < packed.size();) {
-      const ssize_t n = ::write(file.get(), packed.data() + done, packed.size() - done);
-      if (n < 0 && errno == EINTR) continue;
-      if (n <= 0) {
-        const std::string why = failure("cannot keep the list");
-        ::unlink(fresh.c_str());  // guards the disk's limit against half a list
-        return why;
-      }
-      done += static_cast<std::size_t>(n);
-    }
-  }
-  if (::rename(fresh.c_str(), path(kName).c_str()) != 0) return failure("cannot keep the list");
+  if (!replace_file(path(kName), path(kNewName), packed)) return failure("cannot keep the list");
   return "";
 }
 
--- a/src/core/memory.hpp
+++ b/src/core/memory.hpp
@@ -12,8 +12,10 @@
 #include <cereal/types/unordered_map.hpp>
 #include <cereal/types/utility.hpp>
 #include <cereal/types/vector.hpp>
+#include <istream>
 #include <new>
 #include <sstream>
+#include <streambuf>
 #include <string>
 #include <string_view>
 
@@ -33,21 +35,52 @@
   return std::move(out).str();
 }
 
+// The same, of one version: it is raised with each change of what is written, and another's bytes are not
+// read.
+template <class Write>
+std::string written_memory(std::uint32_t version, Write write) {
+  return written_memory([&](MemoryWriter& archive) {
+    archive(version);
+    write(archive);
+  });
+}
+
+// Bytes that are read where they stand.
+class MemoryView : public std::streambuf {
+ public:
+  explicit MemoryView(std::string_view bytes) {
+    char* const first = const_cast<char*>(bytes.data());  // that nothing is written to
+    setg(first, first, first + bytes.size());
+  }
+};
+
 // `read` is called with a MemoryReader. Throws starlinghook::MemoryError where the bytes are not what it
 // reads, or are more.
 template <class Read>
 void read_memory(std::string_view bytes, const char* whose, Read read) {
   try {
-    std::istringstream in{std::string(bytes)};
+    MemoryView view(bytes);
+    std::istream in(&view);
     MemoryReader archive(in);
     read(archive);
-    if (in.peek() == std::istringstream::traits_type::eof()) return;
+    if (in.peek() == std::istream::traits_type::eof()) return;
   } catch (const cereal::Exception&) {
   } catch (const std::bad_alloc&) {     // a length that is none
   } catch (const std::length_error&) {  // the same
   }
   throw starlinghook::MemoryError(std::string(whose) + " cannot be read");
 }
+template <class Read>
+void read_memory(std::string_view bytes, const char* whose, std::uint32_t version, Read read) {
+  read_memory(bytes, whose, [&](MemoryReader& archive) {
+    std::uint32_t found = 0;
+    archive(found);
+    if (found != version) {
+      throw starlinghook::MemoryError(std::string(whose) + " is of version " + std::to_string(found));
+    }
+    read(archive);
+  });
+}
 
 template <class Archive>
 void serialize(Archive& archive, Address& a) {
--- a/src/core/reducer_memory.cpp
+++ b/src/core/reducer_memory.cpp
@@ -6,7 +6,6 @@
 namespace fennellane {
 namespace {
 
-// Raised with each change of what is listed below: another version's bytes are not read.
 constexpr std::uint32_t kMemoryVersion = 2;
 
 }  // namespace
@@ -27,19 +26,14 @@
 }
 
 std::string Reducer::save() {
-  return written_memory([this](MemoryWriter& archive) {
-    archive(kMemoryVersion, forwarder_.save());
+  return written_memory(kMemoryVersion, [this](MemoryWriter& archive) {
+    archive(forwarder_.save());
     remember(archive);
   });
 }
 
 void Reducer::load(const starlinghook::Settings& settings, std::string_view bytes, const BodyOf& body_of) {
-  read_memory(bytes, "the reducer's memory", [&](MemoryReader& archive) {
-    std::uint32_t version = 0;
-    archive(version);
-    if (version != kMemoryVersion) {
-      throw starlinghook::MemoryError("the reducer's memory is of version " + std::to_string(version));
-    }
+  read_memory(bytes, "the reducer's memory", kMemoryVersion, [&](MemoryReader& archive) {
     std::string module;
     archive(module);
     forwarder_ = starlinghook::Forwarder::load(settings, module);
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -9,6 +9,7 @@
 
 #include "adopted.hpp"
 #include "http_memory.hpp"
+#include "names.hpp"
 #include "number.hpp"
 #include "ring_buffer.hpp"
 
@@ -24,12 +25,6 @@
   return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 127; });
 }
 
-std::optional<std::uint32_t> position(const std::vector<std::string>& names, std::string_view name) {
-  const auto it = std::find(names.begin(), names.end(), name);
-  if (it == names.end()) return std::nullopt;
-  return static_cast<std::uint32_t>(it - names.begin());
-}
-
 // "dest=7", perhaps among other parts.
 std::optional<std::uint64_t> destination(std::string_view text, std::uint64_t most) {
   while (!text.empty()) {
@@ -49,19 +44,19 @@
   const Limits& limits = config.limits;
   const wire::BootInfo& boot = config.boot;
   const std::string_view path = std::string_view(request.target()).substr(0, request.target().find('?'));
-  const auto of_path = path.starts_with('/') ? position(boot.classes, path.substr(1)) : std::nullopt;
+  const auto of_path = path.starts_with('/') ? find_position(boot.classes, path.substr(1)) : std::nullopt;
   if (!of_path) return kNoPath;
   if (request.method() != "POST") return kNoMethod;
   const auto message_class = request.header("x-call-class"), id = request.header("x-call-id"),
              tenant = request.header("x-caller"), budget = request.header("x-budget-ms"),
              consignee = request.header("x-consignee");
   if (!message_class || !id || !budget || !consignee) return kBad;
-  if (position(boot.classes, *message_class) != of_path) return kBad;
+  if (find_position(boot.classes, *message_class) != of_path) return kBad;
   if (id->empty() || id->size() > limits.id || !visible(*id) || *id == ",") return kBad;
   Offered offer;
   offer.message_class = *of_path;
   if (!boot.tenants.empty()) {
-    const auto named = tenant ? position(boot.tenants, *tenant) : std::nullopt;
+    const auto named = tenant ? find_position(boot.tenants, *tenant) : std::nullopt;
     if (!named) return kBad;
     offer.tenant = *named;
   }
--- a/src/http/http_memory.hpp
+++ b/src/http/http_memory.hpp
@@ -21,18 +21,18 @@
   if (pass(kLibrary) != kLibrary) {
     throw starlinghook::MemoryError("messages were being read with another version of http-parser");
   }
-  parser_.type = pass(unsigned{parser_.type}) & 0x3u;
-  parser_.flags = pass(unsigned{parser_.flags}) & 0xffu;
-  parser_.state = pass(unsigned{parser_.state}) & 0x7fu;
-  parser_.header_state = pass(unsigned{parser_.header_state}) & 0x7fu;
-  parser_.index = pass(unsigned{parser_.index}) & 0x1fu;
-  parser_.uses_transfer_encoding = pass(unsigned{parser_.uses_transfer_encoding}) & 1u;
-  parser_.allow_chunked_length = pass(unsigned{parser_.allow_chunked_length}) & 1u;
-  parser_.lenient_http_headers = pass(unsigned{parser_.lenient_http_headers}) & 1u;
-  parser_.status_code = pass(unsigned{parser_.status_code}) & 0xffffu;
-  parser_.method = pass(unsigned{parser_.method}) & 0xffu;
-  parser_.http_errno = pass(unsigned{parser_.http_errno}) & 0x7fu;
-  parser_.upgrade = pass(unsigned{parser_.upgrade}) & 1u;
+  parser_.type = pass(unsigned{parser_.type});
+  parser_.flags = pass(unsigned{parser_.flags});
+  parser_.state = pass(unsigned{parser_.state});
+  parser_.header_state = pass(unsigned{parser_.header_state});
+  parser_.index = pass(unsigned{parser_.index});
+  parser_.uses_transfer_encoding = pass(unsigned{parser_.uses_transfer_encoding});
+  parser_.allow_chunked_length = pass(unsigned{parser_.allow_chunked_length});
+  parser_.lenient_http_headers = pass(unsigned{parser_.lenient_http_headers});
+  parser_.status_code = pass(unsigned{parser_.status_code});
+  parser_.method = pass(unsigned{parser_.method});
+  parser_.http_errno = pass(unsigned{parser_.http_errno});
+  parser_.upgrade = pass(unsigned{parser_.upgrade});
   archive(parser_.nread, parser_.content_length, parser_.http_major, parser_.http_minor);
   archive(head_size_, first_line_, target_, headers_, in_value_, body_, started_, head_done_, done_,
           keep_alive_, refusal_);
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -12,6 +12,7 @@
 #include <span>
 
 #include "adopted.hpp"
+#include "clock.hpp"
 #include "http_memory.hpp"
 #include "ring_buffer.hpp"
 
@@ -113,7 +114,7 @@
 
   HostId host() const { return host_; }
   Time idle_since() const { return idle_since_; }
-  Time idle_for() const { return now() - idle_since_; }
+  Time idle_for() const { return steady_now() - idle_since_; }
 
   void connect(StartCall call) {
     take(std::move(call));
@@ -163,7 +164,7 @@
 
   void reuse(StartCall call) {
     take(std::move(call));
-    idle_ = std::max(Time(1), now() - idle_since_);
+    idle_ = std::max(Time(1), steady_now() - idle_since_);
     ++pool_.counters_.reused;
     arm_at(deadline_);
     write();
@@ -192,7 +193,7 @@
   }
 
   void rest(Time idle) {
-    idle_since_ = now();
+    idle_since_ = steady_now();
     timer_.expires_after(idle);
     await_rested();
   }
@@ -205,9 +206,6 @@
       self->close();
     });
   }
-  static Time now() {
-    return std::chrono::duration_cast<Time>(std::chrono::steady_clock::now().time_since_epoch());
-  }
   void take(StartCall call) {
     call_ = std::move(call);
     busy_ = true;
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -158,13 +158,23 @@
   }
 }
 
+FileDescriptor open_folder(const std::string& folder) {
+  return FileDescriptor(::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+}
+bool try_lock(const FileDescriptor& folder) { return ::flock(folder.get(), LOCK_EX | LOCK_NB) == 0; }
+
 }  // namespace
 
+bool journal_is_locked(const std::string& folder) {
+  const FileDescriptor lock = open_folder(folder);
+  return lock.get() >= 0 && !try_lock(lock) && errno == EWOULDBLOCK;
+}
+
 FileDescriptor lock_journal(const std::string& folder, Time wait) {
-  FileDescriptor lock(::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+  FileDescriptor lock = open_folder(folder);
   if (lock.get() < 0) fail("cannot open " + folder);
   const auto end = std::chrono::steady_clock::now() + wait;
-  while (::flock(lock.get(), LOCK_EX | LOCK_NB) != 0) {
+  while (!try_lock(lock)) {
     if (errno != EWOULDBLOCK && errno != EINTR) fail("cannot lock " + folder);
     if (std::chrono::steady_clock::now() >= end) throw JournalError(folder + " is another process's");
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
--- a/src/journal/journal.hpp
+++ b/src/journal/journal.hpp
@@ -30,6 +30,8 @@
 // The lock on the folder: held while the descriptor, or a copy of it in another process, is open. Waits for
 // it for so long; throws JournalError if another process has it then.
 FileDescriptor lock_journal(const std::string& folder, Time wait);
+// Whether some process holds it.
+bool journal_is_locked(const std::string& folder);
 
 class Journal {
  public:
--- a/src/membership/membership_memory.cpp
+++ b/src/membership/membership_memory.cpp
@@ -5,7 +5,6 @@
 namespace fennellane {
 namespace {
 
-// Raised with each change of what is listed below: another version's bytes are not read.
 constexpr std::uint32_t kMemoryVersion = 1;
 
 }  // namespace
@@ -27,21 +26,11 @@
 }
 
 std::string Membership::save() {
-  return written_memory([this](MemoryWriter& archive) {
-    archive(kMemoryVersion);
-    remember(archive);
-  });
+  return written_memory(kMemoryVersion, [this](MemoryWriter& archive) { remember(archive); });
 }
 
 void Membership::load(std::string_view bytes) {
-  read_memory(bytes, "the membership", [this](MemoryReader& archive) {
-    std::uint32_t version = 0;
-    archive(version);
-    if (version != kMemoryVersion) {
-      throw starlinghook::MemoryError("the membership is of version " + std::to_string(version));
-    }
-    remember(archive);
-  });
+  read_memory(bytes, "the membership", kMemoryVersion, [this](MemoryReader& archive) { remember(archive); });
   for (auto& [id, host] : hosts_) destinations_[host.told.destination].push_back(&host);
 }
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 using std::chrono::duration_cast;
-using std::chrono::steady_clock;
 using std::chrono::system_clock;
 
 WallTime wall_now() { return duration_cast<WallTime>(system_clock::now().time_since_epoch()); }
@@ -116,7 +115,7 @@
   for (const StreamId stream : std::exchange(unheard_, {})) input(NoticeTaken{stream});
 }
 void Relay::carry(SetTimer& e) {
-  timer_.expires_at(steady_clock::time_point(duration_cast<steady_clock::duration>(e.at)));
+  timer_.expires_at(steady_moment(e.at));
   timer_.async_wait([this](asio::error_code error) {
     if (!error) input(TimerDue{});
   });
@@ -153,11 +152,14 @@
   if (before) before->stop();
   if (old_discovery) old_discovery->stop();
   const auto on_list = [this](HostList list, bool cached) { take_list(std::move(list), cached); };
+  const auto inherit = [this, &wanted](auto& source) {
+    if (inherited_source_ == wanted.source && !inherited_watch_.empty()) source.load(inherited_watch_);
+  };
   switch (wanted.source) {
     case MembershipSource::platform:
       log_("membership", "from the platform, at " + wanted.discovery.text());
       discovery_ = std::make_shared<Discovery>(io_, config_, wanted.discovery, counters_, log_, on_list);
-      if (inherited_source_ == wanted.source && !inherited_watch_.empty()) discovery_->load(inherited_watch_);
+      inherit(*discovery_);
       return discovery_->start();
     case MembershipSource::list:
       log_("membership", "from the settings, " + std::to_string(wanted.known.hosts.size()) + " hosts");
@@ -168,7 +170,7 @@
           io_, *wanted.consul,
           ConsulPlace{config_.name, wanted.seed, {config_.boot.zones, config_.boot.kinds}, state_folder_},
           config_.limits, counters_, log_, on_list, before.get());
-      if (inherited_source_ == wanted.source && !inherited_watch_.empty()) consul_->load(inherited_watch_);
+      inherit(*consul_);
       if (ready_) consul_->set_ready();
       consul_->start();
   }
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -125,7 +125,6 @@
   pid_t old_process_ = -1;
   MembershipSource inherited_source_{};
   std::string inherited_watch_;
-  FileDescriptor old_channel_;
   std::optional<asio::posix::stream_descriptor> old_end_;
   asio::steady_timer old_timer_;
 };
--- a/src/relay/relay_upgrade.cpp
+++ b/src/relay/relay_upgrade.cpp
@@ -15,27 +15,8 @@
 namespace fennellane {
 namespace {
 
-// Raised with each change of what is listed below: another version's bytes are not read.
 constexpr std::uint32_t kMemoryVersion = 1;
 
-// What only a restart can change, as it goes along.
-struct FixedParts {
-  std::string name, listen;
-  wire::SettingsMap settings;
-  explicit FixedParts(const Config& config)
-      : name(config.name), listen(config.listen.text()), settings(config.settings) {}
-  FixedParts() = default;
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(name, listen, settings);
-  }
-  std::string changed(const FixedParts& wanted) const {
-    if (name != wanted.name) return "name";
-    if (listen != wanted.listen) return "listen";
-    return settings != wanted.settings ? "settings" : "";
-  }
-};
-
 std::string ms_text(Time span) {
   char text[32];
   std::snprintf(text, sizeof text, "%.1f ms", static_cast<double>(span.count()) / 1000);
@@ -58,8 +39,9 @@
 }
 
 std::string Relay::save(DescriptorsOut& descriptors) {
-  return written_memory([&](MemoryWriter& archive) {
-    archive(kMemoryVersion, FixedParts(config_), steady_now(), ::getpid(), descriptors.add(lock_.get()));
+  return written_memory(kMemoryVersion, [&](MemoryWriter& archive) {
+    archive(config_.name, config_.listen, config_.settings, steady_now(), ::getpid(),
+            descriptors.add(lock_.get()));
     remember_parts(archive);
     archive(reducer_.save(), upstream_.save(descriptors), downstream_.save(descriptors), notices_.save());
     const bool consul = consul_ != nullptr;
@@ -73,17 +55,14 @@
 }
 
 void Relay::load(const std::string& state, DescriptorsIn& descriptors) {
-  read_memory(state, "the relay's state", [&](MemoryReader& archive) {
-    std::uint32_t version = 0;
-    archive(version);
-    if (version != kMemoryVersion) {
-      throw starlinghook::MemoryError("the relay's state is of version " + std::to_string(version));
-    }
-    FixedParts parts;
+  read_memory(state, "the relay's state", kMemoryVersion, [&](MemoryReader& archive) {
+    Config running = config_;  // but for what goes along
     std::uint32_t lock = 0;
-    archive(parts, stood_still_since_, old_process_, lock);
-    const std::string changed = parts.changed(FixedParts(config_));
-    if (!changed.empty()) throw starlinghook::MemoryError(changed + " has changed and needs a restart");
+    archive(running.name, running.listen, running.settings, stood_still_since_, old_process_, lock);
+    const std::vector<std::string> changed = fixed_parts_changed(running, config_);
+    if (!changed.empty()) {
+      throw starlinghook::MemoryError(changed.front() + " has changed and needs a restart");
+    }
     lock_ = descriptors.take(lock);
     remember_parts(archive);
     std::string reducer, upstream, downstream, notices;
@@ -132,14 +111,11 @@
   upgrade_ =
       std::make_unique<upgrade::OldProcess>(io_, std::move(command), place_.watcher, journal_.generation(),
                                             limits, static_cast<upgrade::Upgradable&>(*this), log_);
-  if (adopted_) {
-    old_end_.emplace(io_, old_channel_.release());
-    return old_ended();
-  }
+  if (adopted_) return old_ended();
   upgrade::write_run_file(state_folder_, {::getpid(), 0, upgrades_, true, "no upgrade yet"});
 }
 
-void Relay::watch_old(FileDescriptor channel) { old_channel_ = std::move(channel); }
+void Relay::watch_old(FileDescriptor channel) { old_end_.emplace(io_, channel.release()); }
 
 // Waits for the old process to be gone, and looks after what it may not have done.
 void Relay::old_ended() {
--- a/src/upgrade/command.cpp
+++ b/src/upgrade/command.cpp
@@ -1,32 +1,20 @@
 #include "command.hpp"
 
-#include <fcntl.h>
 #include <signal.h>
-#include <sys/file.h>
 
-#include <cerrno>
 #include <cstdio>
 #include <thread>
 
-#include "descriptor.hpp"
+#include "journal.hpp"
 #include "run_file.hpp"
 
 namespace fennellane::upgrade {
 
-namespace {
-
-// A relay holds a lock on its folder. Guards another process, which has got the number of one that is gone,
-// against a signal.
-bool is_served(const std::string& folder) {
-  const FileDescriptor file(::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-  return file.get() >= 0 && ::flock(file.get(), LOCK_EX | LOCK_NB) != 0 && errno == EWOULDBLOCK;
-}
-
-}  // namespace
-
 int ask_for_upgrade(const std::string& state_folder, std::chrono::seconds wait) {
   const auto before = read_run_file(state_folder);
-  if (!before || !is_served(state_folder) || ::kill(before->pid, SIGUSR2) != 0) {
+  // A relay holds the lock. Guards another process, which has got the number of one that is gone, against a
+  // signal.
+  if (!before || !journal_is_locked(state_folder) || ::kill(before->pid, SIGUSR2) != 0) {
     std::fprintf(stderr, "fennellane: no relay that can be upgraded serves from %s\n", state_folder.c_str());
     return 1;
   }
--- a/src/upgrade/old_process.cpp
+++ b/src/upgrade/old_process.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 using namespace handover;
-using std::chrono::steady_clock;
 
 constexpr std::size_t kStatePart = 256 * 1024;
 constexpr std::size_t kDescriptorsPart = 200;
@@ -204,7 +203,7 @@
 void OldProcess::carry(const StartAnew&) { relay_.start_anew(); }
 void OldProcess::carry(const SetTimer& e) {
   due_ = e.at;
-  timer_.expires_at(steady_clock::time_point(std::chrono::duration_cast<steady_clock::duration>(e.at)));
+  timer_.expires_at(steady_moment(e.at));
   timer_.async_wait([this](asio::error_code error) {
     if (!error) time_due();
   });
--- a/src/upgrade/run_file.cpp
+++ b/src/upgrade/run_file.cpp
@@ -2,9 +2,10 @@
 
 #include <unistd.h>
 
-#include <cstdio>
 #include <fstream>
 
+#include "replace_file.hpp"
+
 namespace fennellane::upgrade {
 namespace {
 
@@ -28,14 +29,10 @@
 }
 
 bool write_run_file(const std::string& folder, const RunFile& file) {
-  {
-    std::ofstream out(folder + kNewName, std::ios::trunc);
-    out << "pid " << file.pid << "\nnext " << file.next << "\ntries " << file.tries << "\nlast "
-        << (file.good ? "good " : "bad ") << file.last.substr(0, kMostLast) << "\n";
-    out.flush();
-    if (!out) return false;
-  }
-  return std::rename((folder + kNewName).c_str(), (folder + kName).c_str()) == 0;
+  const std::string text = "pid " + std::to_string(file.pid) + "\nnext " + std::to_string(file.next) +
+                           "\ntries " + std::to_string(file.tries) + "\nlast " +
+                           (file.good ? "good " : "bad ") + file.last.substr(0, kMostLast) + "\n";
+  return replace_file(folder + kName, folder + kNewName, text);
 }
 
 void remove_run_file(const std::string& folder) { ::unlink((folder + kName).c_str()); }
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -6,6 +6,15 @@
 
 using namespace test;
 
+// A relay that serves, and one host that delivers all.
+class RelayToOneHost : public testing::Test {
+ protected:
+  RelayToOneHost() { relay.start(); }
+  Server host{[](const Request&) { return answer("200 OK"); }};
+  Platform platform{{{"s-1", host.address()}}};
+  Program relay{platform.address()};
+};
+
 TEST(Relay, DeliversWhatItTakes) {
   Server host([](const Request&) { return answer("200 OK", "fine", "X-Load-Report: x0=0.4,x1=25\r\n"); });
   Platform platform({{"s-1", host.address()}});
@@ -25,11 +34,7 @@
   EXPECT_TRUE(relay.runs());
 }
 
-TEST(Relay, AnswersBadInputAndLivesOn) {
-  Server host([](const Request&) { return answer("200 OK"); });
-  Platform platform({{"s-1", host.address()}});
-  Program relay(platform.address());
-  relay.start();
+TEST_F(RelayToOneHost, AnswersBadInputAndLivesOn) {
   EXPECT_EQ(relay.ask("nonsense\r\n\r\n"), 400u);
   EXPECT_EQ(relay.ask("GET /note HTTP/1.1\r\n\r\n"), 405u);
   EXPECT_EQ(relay.ask("GET /nowhere HTTP/1.1\r\n\r\n"), 404u);
@@ -79,11 +84,7 @@
   })) << relay.log();
 }
 
-TEST(Relay, AnswersOnAfterSigtermAndEndsCleanly) {
-  Server host([](const Request&) { return answer("200 OK"); });
-  Platform platform({{"s-1", host.address()}});
-  Program relay(platform.address());
-  relay.start();
+TEST_F(RelayToOneHost, AnswersOnAfterSigtermAndEndsCleanly) {
   relay.signal(SIGTERM);
   ASSERT_TRUE(happens([&] { return relay.log().find("stopping") != std::string::npos; }));
   EXPECT_EQ(relay.ask(request_text("late")), 202u);
@@ -148,11 +149,7 @@
 }
 
 // Guards against half a file being taken: what cannot be used is said in one line and changes nothing.
-TEST(Relay, KeepsItsConfigurationWhereTheNewOneCannotBeUsed) {
-  Server host([](const Request&) { return answer("200 OK"); });
-  Platform platform({{"s-1", host.address()}});
-  Program relay(platform.address());
-  relay.start();
+TEST_F(RelayToOneHost, KeepsItsConfigurationWhereTheNewOneCannotBeUsed) {
   std::size_t said = 0;
   for (const std::string bad : {"", "{\"name\":", "{}", "moved"}) {
     ConfigParts parts;
@@ -317,11 +314,7 @@
 }
 
 // Guards against holding and sending what its client has given up while it waited to be read.
-TEST(Relay, DoesNotTakeOnWhatItsClientHasLeft) {
-  Server host([](const Request&) { return answer("200 OK"); });
-  Platform platform({{"s-1", host.address()}});
-  Program relay(platform.address());
-  relay.start();
+TEST_F(RelayToOneHost, DoesNotTakeOnWhatItsClientHasLeft) {
   relay.signal(SIGSTOP);
   {
     asio::io_context io;
@@ -336,11 +329,7 @@
 }
 
 // Guards against an error that its client cannot read: what still comes is read and dropped meanwhile.
-TEST(Relay, AnswersAHugeBodyBeforeItHasCome) {
-  Server host([](const Request&) { return answer("200 OK"); });
-  Platform platform({{"s-1", host.address()}});
-  Program relay(platform.address());
-  relay.start();
+TEST_F(RelayToOneHost, AnswersAHugeBodyBeforeItHasCome) {
   EXPECT_EQ(relay.ask(request_text("big", std::string(8 << 20, 'x'))), 413u);
   EXPECT_EQ(
       relay.ask("POST /note HTTP/1.1\r\nContent-Length: 60\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
--- a/tools/measure_consul.cpp
+++ b/tools/measure_consul.cpp
@@ -19,6 +19,7 @@
 #include "answer_reader.hpp"
 #include "config.hpp"
 #include "consul_agent.hpp"
+#include "figures.hpp"
 #include "http.hpp"
 #include "membership.hpp"
 #include "partner.hpp"
@@ -55,13 +56,6 @@
   return host;
 }
 
-double percentile(std::vector<double> values, double share) {
-  if (values.empty()) return 0;
-  std::sort(values.begin(), values.end());
-  const auto place = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1) + 0.5);
-  return values[place];
-}
-
 // Offers messages at a steady pace on one connection, each counted from when it was meant to be sent.
 class Load {
  public:
@@ -233,13 +227,6 @@
   }
   return ticks * 1000.0 / static_cast<double>(sysconf(_SC_CLK_TCK));
 }
-double rss_kb(pid_t pid) {
-  std::ifstream in("/proc/" + std::to_string(pid) + "/status");
-  for (std::string line; std::getline(in, line);) {
-    if (line.starts_with("VmRSS:")) return std::stod(line.substr(6));
-  }
-  return 0;
-}
 
 void sizes(const std::string& program) {
   std::printf(
@@ -327,7 +314,7 @@
     std::printf("| %zu | %zu | %.0f | %.0f | %.0f | %.0f | %.2f | %.0f |\n", count, bytes / 1024,
                 percentile(same, 0.5), percentile(changed, 0.5),
                 percentile(changed, 0.5) - percentile(same, 0.5), percentile(reduced, 0.5), cpu,
-                rss_kb(relay.pid()));
+                static_cast<double>(memory_kb(relay.pid(), "VmRSS")));
     std::fflush(stdout);
   }
 }
--- a/tools/measure_upgrade.cpp
+++ b/tools/measure_upgrade.cpp
@@ -24,6 +24,7 @@
 #include <thread>
 
 #include "client.hpp"
+#include "figures.hpp"
 #include "partner.hpp"
 #include "relay_process.hpp"
 #include "run_file.hpp"
@@ -174,13 +175,6 @@
   std::thread thread_;
 };
 
-double percentile(std::vector<double> values, double share) {
-  if (values.empty()) return 0;
-  std::sort(values.begin(), values.end());
-  return values[std::min(values.size() - 1,
-                         static_cast<std::size_t>(share * static_cast<double>(values.size())))];
-}
-
 // What became of each message that was taken on, from both ends.
 struct Audit {
   std::size_t offered = 0, taken = 0, refused = 0, unanswered = 0;
@@ -245,14 +239,6 @@
   return all;
 }
 
-std::uint64_t proc_kb(pid_t pid, const std::string& name) {
-  std::ifstream in("/proc/" + std::to_string(pid) + "/status");
-  for (std::string line; std::getline(in, line);) {
-    if (line.starts_with(name + ":")) return std::stoull(line.substr(name.size() + 1));
-  }
-  return 0;
-}
-
 pid_t serving(const RelayProcess& relay) {
   const auto file = upgrade::read_run_file(relay.state_folder());
   return file ? file->pid : 0;
@@ -429,12 +415,12 @@
     if (error) return false;
   }
   const pid_t old = serving(relay);
-  const std::uint64_t old_kb = proc_kb(old, "VmRSS");
+  const std::uint64_t old_kb = memory_kb(old, "VmRSS");
   const Moment from = steady_clock::now();
   relay.signal(SIGUSR2);
   std::uint64_t old_most = 0;
   const bool done = happens([&] {
-    old_most = std::max(old_most, proc_kb(old, "VmHWM"));
+    old_most = std::max(old_most, memory_kb(old, "VmHWM"));
     return serving(relay) != old;
   });
   const double ms = duration<double, std::milli>(steady_clock::now() - from).count();
@@ -443,8 +429,8 @@
   const pid_t now = serving(relay);
   std::printf("| %zu | %s | %.0f | %.1f | %.1f | %.1f | %.1f | %.1f |\n", taken, done ? "yes" : "no", ms,
               still.empty() ? 0 : still.back(), static_cast<double>(old_kb) / 1024,
-              static_cast<double>(old_most) / 1024, static_cast<double>(proc_kb(now, "VmHWM")) / 1024,
-              static_cast<double>(proc_kb(now, "VmRSS")) / 1024);
+              static_cast<double>(old_most) / 1024, static_cast<double>(memory_kb(now, "VmHWM")) / 1024,
+              static_cast<double>(memory_kb(now, "VmRSS")) / 1024);
   std::fflush(stdout);
   if (!done) std::printf("%s\n", relay.log().c_str());
   return done && taken == messages;
