Flight record: what the relay notes of every message, and a command that says why each ended

Change: a mapped ring of notes (off without a section in the settings), read by fennellane why, also while it is written and after SIGKILL. The module says why it gives a message up, the reducer what happened at the door.

--- a/include/starlinghook/delivery.hpp
+++ b/include/starlinghook/delivery.hpp
@@ -158,12 +158,17 @@
   Time timeout{};
   Time most_idle = Time::max();  // a connection that has stood idle for longer is not used
 };
+// Why a message is given up: to make room for others, since no call would end in time, after its last
+// attempt, or since one may have run and none may follow.
+enum class Why { none, room, time, attempts, doubt };
 struct Refuse {  // undelivered, may safely come again
   MessageId id = 0;
   Time return_after{};
+  Why why = Why::none;
 };
 struct Fail {
   MessageId id = 0;
+  Why why = Why::none;
 };
 struct Cancel {
   MessageId id = 0;
--- a/src/core/limits.hpp
+++ b/src/core/limits.hpp
@@ -57,7 +57,9 @@
   Time backoff_least = std::chrono::milliseconds(50);
   Time backoff_most = std::chrono::seconds(1);
   Time lock_wait = std::chrono::seconds(2);  // for a process before this one to let go of the state folder
-  Time list_gap = std::chrono::seconds(2);   // between two times that the list is kept
+  Time loop_look = std::chrono::milliseconds(50);  // at how late the loop runs
+  Time loop_beat = std::chrono::seconds(1);        // and how often that is noted
+  Time list_gap = std::chrono::seconds(2);         // between two times that the list is kept
   Time most_budget = std::chrono::hours(24);
   // From SIGTERM on: idle clients are sent away, then no call starts that may outlast the end, then the end.
   Time stop_idle = std::chrono::milliseconds(600);
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -51,18 +51,22 @@
 void Reducer::on(const Offered& o) {
   if (by_id_.count(o.id) || ended_ids_.count(o.id)) {
     ++counters_.repeated;
-    return effect(Answer{o.reply, Reply::taken, Time(0)});
+    return effect(Answer{o.reply, Reply::taken, Time(0), Door::repeated, 0});
   }
   // Guards against holding to its deadline what can never be delivered. Before discovery has told its list,
   // it may only be too early.
   if (o.destination >= destinations_.size() || !destinations_[o.destination]) {
     ++(listed_ ? counters_.malformed : counters_.refused);
-    return effect(Answer{o.reply, listed_ ? Reply::unknown : Reply::refused, refused_again_});
+    return effect(Answer{o.reply, listed_ ? Reply::unknown : Reply::refused, refused_again_,
+                         listed_ ? Door::unknown : Door::too_early, 0});
   }
-  const bool full = streams_.size() - given_up_ >= limits_.held || streams_.size() >= limits_.unnoticed;
-  if (full || !o.journal_has_room) {
+  const Door door = streams_.size() - given_up_ >= limits_.held ? Door::full
+                    : streams_.size() >= limits_.unnoticed      ? Door::unnoticed
+                    : !o.journal_has_room                       ? Door::journal_full
+                                                                : Door::taken;
+  if (door != Door::taken) {
     ++counters_.refused;
-    return effect(Answer{o.reply, Reply::refused, refused_again_});
+    return effect(Answer{o.reply, Reply::refused, refused_again_, door, 0});
   }
   ++counters_.taken;
   const StreamId id = next_++;
@@ -74,7 +78,7 @@
   entry.destination = o.destination;
   entry.body = o.body;
   effect(RecordTaken{id, std::move(entry), o.time_left});
-  effect(Answer{o.reply, Reply::taken, Time(0)});
+  effect(Answer{o.reply, Reply::taken, Time(0), Door::taken, id});
   starlinghook::MessageArrived arrived;
   arrived.id = id;
   arrived.message_class = o.message_class;
@@ -99,7 +103,9 @@
   // repeated.
   if (e.out) effect(RecordOutcome{r.stream, true});
   // Guards against a configuration that has lost the message's class since.
-  if (e.message_class >= classes_) return give_up(r.stream, Verdict::undeliverable, Time(0));
+  if (e.message_class >= classes_) {
+    return give_up(r.stream, Verdict::undeliverable, Time(0), starlinghook::Why::none);
+  }
   starlinghook::MessageArrived arrived;
   arrived.id = r.stream;
   arrived.message_class = e.message_class;
@@ -240,21 +246,21 @@
   effect(StartCall{a.id, attempt, a.endpoint, host.address, stream.id, stream.body, a.timeout, a.most_idle});
 }
 
-void Reducer::give_up(StreamId stream, Verdict verdict, Time again) {
+void Reducer::give_up(StreamId stream, Verdict verdict, Time again, starlinghook::Why why) {
   Stream& s = streams_.at(stream);
   s.given_up = true;
   s.body.reset();
   ++given_up_;
-  effect(RecordGivenUp{stream, verdict, again});
+  effect(RecordGivenUp{stream, verdict, again, why});
   effect(PostNotice{stream, s.id, verdict, again});
 }
 void Reducer::carry(const starlinghook::Refuse& a) {
   ++counters_.deferred;
-  give_up(a.id, Verdict::deferred, a.return_after);
+  give_up(a.id, Verdict::deferred, a.return_after, a.why);
 }
 void Reducer::carry(const starlinghook::Fail& a) {
   ++counters_.undeliverable;
-  give_up(a.id, Verdict::undeliverable, Time(0));
+  give_up(a.id, Verdict::undeliverable, Time(0), a.why);
 }
 void Reducer::carry(const starlinghook::Cancel& a) { effect(CancelCall{a.id, a.attempt}); }
 void Reducer::carry(const starlinghook::CloseIdle& a) { effect(CloseIdle{a.endpoint}); }
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -17,6 +17,7 @@
 
 #include "cluster.hpp"
 #include "counters.hpp"
+#include "door.hpp"
 #include "limits.hpp"
 #include "stream.hpp"
 
@@ -87,6 +88,7 @@
   StreamId stream = 0;
   Verdict verdict{};
   Time again{};
+  starlinghook::Why why{};  // for those who ask; not in the journal
 };
 struct RecordEnded {
   StreamId stream = 0;
@@ -96,6 +98,8 @@
   ReplyTo reply = 0;
   Reply with{};
   Time again{};  // refused: when to come back; 0 = no advice
+  Door door{};
+  StreamId stream = 0;  // of one that is taken on
 };
 struct StartCall {
   StreamId stream = 0;
@@ -197,7 +201,7 @@
   void carry(const starlinghook::FetchList&) {}
 
   Stream& add(StreamId id, std::string text, Body body);
-  void give_up(StreamId stream, Verdict verdict, Time again);
+  void give_up(StreamId stream, Verdict verdict, Time again, starlinghook::Why why);
   template <class Concerned>
   void hold_back(Concerned concerned);
   void end(std::map<StreamId, Stream>::iterator it);
--- a/src/delivery_policy.cpp
+++ b/src/delivery_policy.cpp
@@ -931,7 +931,7 @@
         }
       }
       if (!least) return;
-      answer(*least, destinations_.at(least->facts.destination));
+      answer(*least, destinations_.at(least->facts.destination), true);
     }
   }
 
@@ -988,10 +988,13 @@
     return wait >= last ? now_ : last;
   }
 
-  void answer(Message& m, const Destination& d) {
+  void answer(Message& m, const Destination& d, bool for_room = false) {
     bool may_refuse = !m.may_have_run || m.rules->effect == Effect::safe ||
                       (m.rules->effect == Effect::keyed && m.rules->key_scope == KeyScope::all);
-    may_refuse ? act(Refuse{m.facts.id, return_after(d)}) : act(Fail{m.facts.id});
+    const Why why = for_room                          ? Why::room
+                    : m.attempts >= s_.max_attempts ? Why::attempts
+                                                    : may_refuse ? Why::time : Why::doubt;
+    may_refuse ? act(Refuse{m.facts.id, return_after(d), why}) : act(Fail{m.facts.id, why});
     end(m);
   }
 
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -1,5 +1,6 @@
 #include "downstream.hpp"
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -134,11 +135,16 @@
     return !served_ && age >= limits_.newcomer ? Claim::newcomer : Claim::busy;
   }
   std::chrono::steady_clock::time_point since() const { return since_; }
+  bool served_message() const { return messages_ && !closing_; }
   void touch() { busy_ = true; }  // bytes have come that will be read soon
 
   // Puts the answer into the ring and as much of it on its way as goes at once, so that it leaves before what
   // the relay does next.
-  void answer(unsigned status, std::string_view more_headers = {}) {
+  void answer(unsigned status, std::string_view more_headers = {}, Door door = Door::malformed,
+              StreamId stream = 0) {
+    owner_.record_.note(
+        record::Kind::answered, number_, static_cast<std::uint16_t>(status),
+        {static_cast<std::uint32_t>(door), record::us32(waited_), static_cast<std::uint32_t>(stream)});
     if (status != 200 && status != 202 && status != 503) ++owner_.counters_.malformed;
     const bool close = closing_ || owner_.sending_away_ || !request_.done() || !request_.keep_alive();
     closing_ = close;
@@ -162,24 +168,27 @@
   // Closes at once, so that the place is free; half a request hears why, if the answer leaves in one piece.
   void make_way() {
     if (request_.started() && !lingering_) answer(408);
-    drop();
+    drop(Parting::made_way);
   }
 
-  void drop() {
+  void drop(Parting how) {
     asio::error_code ignored;
     timer_.cancel();
     socket_.close(ignored);
-    owner_.sessions_.erase(number_);
+    if (owner_.sessions_.erase(number_) == 0) return;
+    owner_.record_.note(record::Kind::client, number_, static_cast<std::uint16_t>(how),
+                        {record::ms32(span_since(accepted_)), requests_, record::ms32(span_since(since_))});
   }
 
  private:
   void wait_for_request() {
     since_ = std::chrono::steady_clock::now();
+    owner_.trim();
     arm(limits_.downstream_idle);
   }
   void await_lingered() {
     timer_.async_wait([self = shared_from_this()](asio::error_code e) {
-      if (!e) self->drop();
+      if (!e) self->drop(Parting::finished);
     });
   }
   void arm(Time limit) { arm_at(std::chrono::steady_clock::now() + limit); }
@@ -188,8 +197,8 @@
     timer_.async_wait([self = shared_from_this()](asio::error_code e) {
       if (e || self->lingering_ || self->timer_.expiry() > std::chrono::steady_clock::now()) return;
       // Guards against an answer that nobody reads holding its connection for good.
-      if (self->closing_ || !self->out_.empty()) return self->drop();
-      if (self->idle()) return self->drop();
+      if (self->closing_ || !self->out_.empty()) return self->drop(Parting::unread);
+      if (self->idle()) return self->drop(self->served_ ? Parting::idle : Parting::unfinished);
       // Guards against half a request holding its connection for good.
       if (self->request_.started()) self->answer(408);
       self->flush_then_read();
@@ -207,11 +216,11 @@
       self->reading_ = false;
       self->busy_ = false;
       if (!self->socket_.is_open()) return;
-      if (e) return self->drop();
+      if (e) return self->drop(Parting::by_client);
       const std::span<char> space = self->in_.space();
       const std::size_t n = self->socket_.read_some(asio::buffer(space.data(), space.size()), e);
       if (e == asio::error::would_block) return self->read();
-      if (e && e != asio::error::eof) return self->drop();
+      if (e && e != asio::error::eof) return self->drop(Parting::by_client);
       self->in_.commit(n);
       self->ended_ = e == asio::error::eof;
       self->process();
@@ -238,6 +247,8 @@
         out_.append("HTTP/1.1 100 Continue\r\n\r\n");
       }
       if (request_.done()) {
+        ++requests_;
+        waited_ = owner_.record_.on() ? waited() : Time(0);
         handle();
         request_.reset();
         served_ = true;
@@ -250,23 +261,38 @@
   void handle() {
     if (request_.target() == "/up") {
       if (request_.method() != "GET") return answer(405, "Allow: GET\r\n");
-      return answer(owner_.ready_ ? 200 : 503);
+      return answer(owner_.ready_ ? 200 : 503, "", Door::other);
     }
     std::variant<Offered, unsigned> offer = read_offer(request_, owner_.config_);
     if (const unsigned* refused = std::get_if<unsigned>(&offer)) {
       return answer(*refused, *refused == 405 ? "Allow: POST\r\n" : "");
     }
+    const Offered& read = std::get<Offered>(offer);
+    owner_.record_.note(record::Kind::asked, number_, static_cast<std::uint16_t>(read.message_class),
+                        {read.tenant, read.destination, record::ms32(read.time_left)}, read.id);
     // Guards against taking on what its client has given up while it waited to be read: it comes again under
     // another id.
     if (left()) {
       ++owner_.counters_.refused;
-      return answer(503);
+      return answer(503, "", Door::left);
     }
     auto& message = std::get<Offered>(offer);
     message.reply = number_;
+    messages_ = true;
     owner_.on_offer_(std::move(message));
   }
 
+  // How long the request's last byte has waited here, also before the connection was accepted.
+  Time waited() {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (::getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return Time(0);
+    return std::chrono::milliseconds(info.tcpi_last_data_recv);
+  }
+  static Time span_since(std::chrono::steady_clock::time_point then) {
+    return std::chrono::duration_cast<Time>(std::chrono::steady_clock::now() - then);
+  }
+
   bool left() {
     char byte = 0;
     return ended_ || (in_.empty() && ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0);
@@ -290,9 +316,9 @@
   void flush_then_read() {
     if (writing_ || !socket_.is_open()) return;
     write_out();
-    if (broken_) return drop();
+    if (broken_) return drop(Parting::by_client);
     if (out_.empty()) {
-      if (ended_) return drop();
+      if (ended_) return drop(closing_ ? Parting::finished : Parting::by_client);
       if (closing_ && !lingering_) finish();
       return read_if_idle();
     }
@@ -303,7 +329,7 @@
     socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](asio::error_code e) {
       self->writing_ = false;
       if (!self->socket_.is_open()) return;
-      if (e) return self->drop();
+      if (e) return self->drop(Parting::by_client);
       self->write_out();
       // Requests that came while the answers had no room go on now.
       if (!self->in_.empty() && !self->closing_) return self->process();
@@ -324,7 +350,12 @@
   RingBuffer in_;
   RingBuffer out_;
   HttpReader request_;
-  std::chrono::steady_clock::time_point since_ = std::chrono::steady_clock::now();  // it has been as it is
+  const std::chrono::steady_clock::time_point accepted_ =
+      std::chrono::steady_clock::now();                      // by this process
+  std::chrono::steady_clock::time_point since_ = accepted_;  // it has been as it is
+  std::uint32_t requests_ = 0;
+  bool messages_ = false;
+  Time waited_{};        // of the newest request, where that is recorded
   bool served_ = false;  // a whole request has come
   bool reading_ = false;
   bool busy_ = false;  // bytes have come that have not been read
@@ -336,11 +367,12 @@
 };
 
 Downstream::Downstream(asio::io_context& io, const Config& config, Counters& counters, Log& log,
-                       OnOffer on_offer)
+                       record::Recorder& record, OnOffer on_offer)
     : io_(io),
       config_(config),
       counters_(counters),
       log_(log),
+      record_(record),
       on_offer_(std::move(on_offer)),
       acceptor_(io),
       pause_(io) {}
@@ -379,11 +411,25 @@
     const auto session = std::make_shared<Session>(*this, std::move(socket), next_++);
     sessions_.emplace(next_ - 1, session);
     session->start();
-    if (!room) return pause_accepting();
+    if (!room) {
+      record_.note(record::Kind::no_place, 0, 0, {static_cast<std::uint32_t>(sessions_.size())});
+      return pause_accepting();
+    }
     accept();
   });
 }
 
+void Downstream::trim() {
+  std::shared_ptr<Session> oldest;
+  std::size_t n = 0;
+  for (const auto& [number, s] : sessions_) {
+    if (!s->served_message()) continue;
+    ++n;
+    if (s->idle() && (!oldest || s->since() < oldest->since())) oldest = s;
+  }
+  if (n > config_.allowance.sockets / 6 && oldest) oldest->make_way();
+}
+
 void Downstream::pause_accepting() {
   pause_.expires_after(config_.limits.accept_backoff);
   pause_.async_wait([this](asio::error_code error) {
@@ -423,10 +469,10 @@
 void Downstream::answer(const Answer& answer) {
   const auto it = sessions_.find(answer.reply);
   if (it == sessions_.end()) return;
-  if (answer.with == Reply::taken) return it->second->answer(202);
-  if (answer.with == Reply::unknown) return it->second->answer(400);
+  if (answer.with == Reply::taken) return it->second->answer(202, "", answer.door, answer.stream);
+  if (answer.with == Reply::unknown) return it->second->answer(400, "", answer.door);
   const auto again = std::chrono::ceil<std::chrono::seconds>(answer.again).count();
-  it->second->answer(503, again > 0 ? "Retry-After: " + std::to_string(again) + "\r\n" : "");
+  it->second->answer(503, again > 0 ? "Retry-After: " + std::to_string(again) + "\r\n" : "", answer.door);
 }
 
 std::string Downstream::save(DescriptorsOut& descriptors) {
--- a/src/http/downstream.hpp
+++ b/src/http/downstream.hpp
@@ -14,6 +14,7 @@
 #include "descriptor.hpp"
 #include "http.hpp"
 #include "log.hpp"
+#include "recorder.hpp"
 #include "reducer.hpp"
 
 namespace fennellane {
@@ -24,7 +25,8 @@
 class Downstream {
  public:
   using OnOffer = std::function<void(Offered)>;  // answers before it returns
-  Downstream(asio::io_context& io, const Config& config, Counters& counters, Log& log, OnOffer on_offer);
+  Downstream(asio::io_context& io, const Config& config, Counters& counters, Log& log,
+             record::Recorder& record, OnOffer on_offer);
   ~Downstream();
 
   void listen();  // throws ConfigError where the address cannot be had
@@ -47,11 +49,13 @@
   void accept();
   void pause_accepting();
   bool make_room();
+  void trim();
 
   asio::io_context& io_;
   const Config& config_;
   Counters& counters_;
   Log& log_;
+  record::Recorder& record_;
   OnOffer on_offer_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer pause_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,19 +5,29 @@
 #include <cstdio>
 #include <exception>
 #include <functional>
+#include <iostream>
+#include <map>
 #include <optional>
 #include <string>
 
 #include "command.hpp"
 #include "config.hpp"
+#include "legend.hpp"
 #include "new_process.hpp"
 #include "relay.hpp"
+#include "report.hpp"
 #include "watch.hpp"
 
 namespace {
 
 constexpr int kBadConfig = 2;
 
+using fennellane::record::Fate;
+const std::map<std::string, Fate> kEndings = {
+    {"in-time", Fate::in_time},         {"late", Fate::late},      {"withdrawn", Fate::withdrawn},
+    {"refused", Fate::refused_at_door}, {"room", Fate::made_room}, {"time", Fate::no_time},
+    {"attempts", Fate::no_attempt},     {"doubt", Fate::doubtful}, {"held", Fate::held}};
+
 // What a process does that was started to take over from another.
 class TakingOver : public fennellane::upgrade::Successor {
  public:
@@ -119,6 +129,38 @@
   }
 }
 
+struct WhyQuestion {
+  std::string id, file, ended;
+  std::size_t seconds = 60, most = 20;
+  bool raw = false;
+};
+int why(const std::string& state, const WhyQuestion& question) {
+  namespace record = fennellane::record;
+  try {
+    const record::Contents contents =
+        record::read_record(question.file.empty() ? state + "/" + record::kFileName : question.file);
+    if (question.raw) {
+      record::print_raw(contents, std::cout);
+      return 0;
+    }
+    const record::Account account(contents);
+    if (!question.ended.empty()) {
+      record::print_lives(account, kEndings.at(question.ended), question.most, std::cout);
+      return 0;
+    }
+    if (question.id.empty()) {
+      record::print_summary(account, question.seconds, std::cout);
+      return 0;
+    }
+    if (record::print_life(account, question.id, std::cout)) return 0;
+    std::fprintf(stderr, "fennellane: the record does not know %s%s\n", question.id.c_str(),
+                 contents.overwritten > 0 ? "; its beginning has been overwritten" : "");
+  } catch (const record::RecordError& e) {
+    std::fprintf(stderr, "fennellane: %s\n", e.what());
+  }
+  return 1;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -150,6 +192,19 @@
   upgrade_command->add_option("--wait", wait_s, "seconds to wait for what comes of it")
       ->check(CLI::Range(1, 3600))
       ->capture_default_str();
+  CLI::App* why_command = app.add_subcommand(
+      "why", "say from the flight record how messages ended and why, or why one of them did");
+  WhyQuestion question;
+  why_command->add_option("id", question.id, "a message's X-Call-Id; none: a summary");
+  CLI::Option* state_option =
+      why_command->add_option("--state", state, "the relay's state folder")->envname("GW_STATE");
+  why_command->add_option("--file", question.file, "the record itself, where it lies elsewhere")
+      ->excludes(state_option);
+  why_command->add_option("--ended", question.ended, "list the messages that ended so")
+      ->check(CLI::IsMember(kEndings));
+  why_command->add_option("--most", question.most, "messages listed")->capture_default_str();
+  why_command->add_option("--seconds", question.seconds, "seconds shown, the newest")->capture_default_str();
+  why_command->add_flag("--raw", question.raw, "every note, a line each");
   CLI::App* version_command = app.add_subcommand("version", "print the version");
   CLI11_PARSE(app, argc, argv);
   try {
@@ -157,6 +212,7 @@
       std::printf("fennellane %s\n", FENNELLANE_VERSION);
       return 0;
     }
+    if (why_command->parsed()) return why(state, question);
     if (upgrade_command->parsed()) {
       return fennellane::upgrade::ask_for_upgrade(state, std::chrono::seconds(wait_s));
     }
--- /dev/null
+++ b/src/record/account.hpp
@@ -0,0 +1,111 @@
+// What a flight record tells: the life of every message in it, and how each ended and why. Neither files nor
+// a clock.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "counters.hpp"
+#include "door.hpp"
+#include "entry.hpp"
+#include "legend.hpp"
+#include "record_file.hpp"
+#include "starlinghook/delivery.hpp"
+#include "stream.hpp"
+
+namespace fennellane::record {
+
+// Microseconds since 1970, as all times here.
+using Moment = std::int64_t;
+
+struct CallSeen {
+  std::string host;  // its address, as short_name keeps it
+  Moment from = 0;
+  std::optional<Moment> to;  // none: still out, or its end is not in the record
+  starlinghook::Outcome outcome{};
+  std::uint32_t told_wait_ms = 0;
+};
+
+struct Life {
+  std::string name;  // of the message, as short_name keeps it; empty: its beginning is not in the record
+  std::uint64_t stream = 0;  // 0: never taken on
+  std::uint16_t message_class = 0;
+  std::uint32_t tenant = 0;
+  std::uint32_t destination = 0;
+  std::uint32_t left_ms = 0;  // of its time, when it was asked or read back
+  Moment began = 0;
+  bool restored = false;                   // from the journal, in an earlier life of the relay
+  std::optional<std::uint32_t> waited_us;  // its last byte, before it was read
+  std::optional<Door> door;
+  std::vector<CallSeen> calls;
+  std::optional<Moment> given_up;
+  Verdict verdict{};
+  starlinghook::Why why{};
+  std::optional<Moment> ended;
+  End end{};
+};
+
+// In one word how it stands with a life.
+enum class Fate {
+  in_time,    // delivered within its class's aim, counted from when its client handed it in first
+  late,       // delivered after it
+  withdrawn,  // over elsewhere
+  refused_at_door,
+  made_room,  // given up for others
+  no_time,
+  no_attempt,  // all used up
+  doubtful,    // may have run and must not be repeated
+  lost_class,  // given up since the configuration has lost its class
+  answered,    // no message: /up, an id that is held already
+  held,
+};
+constexpr std::size_t kFates = 11;
+const char* fate_text(Fate fate);
+const char* door_text(Door door);
+
+struct Second {
+  Moment at = 0;  // its beginning
+  std::uint32_t asked = 0, taken = 0, refused = 0, given_up = 0, in_time = 0, late = 0;
+  std::uint32_t accepted_late = 0;  // read more than kSlowToRead after their last byte
+  std::uint32_t no_place = 0;       // clients that could not be accepted at once
+  std::uint32_t made_way = 0;
+  // At its beat; the most where there are several.
+  std::uint32_t held = 0, calls = 0, clients = 0, late_loop_ms = 0, cpu_us = 0;
+  std::string marks;  // began, ready, stopping, reloaded
+};
+constexpr std::uint32_t kSlowToReadUs = 100'000;
+
+class Account {
+ public:
+  explicit Account(const Contents& contents);
+
+  const Legend& legend() const { return legend_; }
+  const std::vector<Life>& lives() const { return lives_; }
+  const std::vector<Second>& seconds() const { return seconds_; }
+  // The newest life under that name.
+  const Life* find(const std::string& name) const;
+  Fate fate(const Life& life) const;
+  // Calls to a destination that ended within a span, by outcome.
+  std::map<starlinghook::Outcome, std::size_t> outcomes(std::uint32_t destination, Moment from,
+                                                        Moment to) const;
+  // How clients' connections ended.
+  const std::map<Parting, std::size_t>& partings() const { return partings_; }
+
+ private:
+  void take(const Entry& e);
+  Life& by_stream(const Entry& e);
+  Second& second(Moment at);
+
+  Legend legend_;
+  std::vector<Life> lives_;
+  std::vector<Second> seconds_;
+  std::unordered_map<std::uint64_t, std::size_t> asking_;  // by connection
+  std::unordered_map<std::uint64_t, std::size_t> streams_;
+  std::map<Parting, std::size_t> partings_;
+};
+
+}  // namespace fennellane::record
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -1,10 +1,15 @@
 #include "relay.hpp"
 
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <asio/post.hpp>
 #include <csignal>
 #include <utility>
 
 #include "clock.hpp"
+#include "legend.hpp"
 #include "run_file.hpp"
 
 namespace fennellane {
@@ -30,11 +35,13 @@
       reducer_(config_.boot.settings, config_.limits, journal_.next_stream(), counters_),
       upstream_(io_, config_, counters_, [this](const CallEnded& ended) { input(ended); }),
       notices_(io_, config_, counters_, log_, [this](StreamId stream) { input(NoticeTaken{stream}); }),
-      downstream_(io_, config_, counters_, log_,
+      downstream_(io_, config_, counters_, log_, record_,
                   [this](Offered offer) {
                     offer.journal_has_room = journal_.has_room(offer.id.size(), offer.body->size());
                     input(offer);
                   }),
+      loop_watch_(io_, config_.limits.loop_look, config_.limits.loop_beat,
+                  [this](Time latest) { note_beat(latest); }),
       timer_(io_),
       stop_timer_(io_),
       signals_(io_, {SIGTERM, SIGINT, SIGHUP, SIGUSR1, SIGUSR2}),
@@ -45,6 +52,7 @@
   std::signal(SIGPIPE, SIG_IGN);  // a log that nobody reads must not end the relay
   std::signal(SIGXFSZ, SIG_IGN);  // nor a file that may not grow
   signals_.start([this](int number) { on_signal(number); });
+  open_record();
   if (adopted_) {
     go_on();
   } else {
@@ -84,7 +92,9 @@
 }
 
 void Relay::input(const Input& input) {
+  record_.note(input);
   for (Effect& effect : reducer_.reduce(steady_now(), input)) {
+    record_.note(effect);
     std::visit([this](auto& e) { carry(e); }, effect);
   }
 }
@@ -135,7 +145,7 @@
 }
 
 void Relay::set_ready() {
-  ready_ = true;
+  if (!std::exchange(ready_, true)) record_.note(record::Kind::ready, 0, 0);
   downstream_.set_ready();
   if (consul_) consul_->set_ready();
 }
@@ -180,6 +190,7 @@
 // goes on, and discovery's list stands until the new address has sent one.
 void Relay::reload() {
   reloaded_ = true;
+  record_.note(record::Kind::signalled, 0, SIGHUP);
   try {
     const Config wanted = reread_();
     for (const std::string& part : fixed_parts_changed(config_, wanted)) {
@@ -225,6 +236,44 @@
   });
 }
 
+// Names by position and what the classes want, for whoever reads the record later.
+void Relay::open_record() {
+  const std::string in_state = state_folder_ + "/" + record::kFileName;
+  // Guards the disk's limit against one that an earlier life has left.
+  if (!config_.record || !config_.record->folder.empty()) ::unlink(in_state.c_str());
+  if (!config_.record) return;
+  const std::string path =
+      config_.record->folder.empty() ? in_state : config_.record->folder + "/" + config_.name + ".record";
+  const wire::BootInfo& boot = config_.boot;
+  std::vector<record::ClassLegend> classes;
+  for (std::size_t i = 0; i < boot.classes.size(); ++i) {
+    const starlinghook::ClassSettings& c = boot.settings.classes.at(i);
+    classes.push_back({boot.classes[i], c.aim, c.deadline, c.worth});
+  }
+  try {
+    record_.open(path, record::record_file_size(config_.record->bytes),
+                 record::legend_text({config_.name, std::move(classes), boot.tenants}));
+  } catch (const record::RecordError& e) {
+    return log_("record", std::string("there is none: ") + e.what());
+  }
+  record_.note(record::Kind::began, 0, 0, {static_cast<std::uint32_t>(::getpid())}, config_.name);
+  loop_watch_.start();
+}
+
+void Relay::note_beat(Time latest) {
+  rusage usage{};
+  ::getrusage(RUSAGE_SELF, &usage);
+  const auto time_of = [](const timeval& t) { return std::chrono::seconds(t.tv_sec) + Time(t.tv_usec); };
+  const Time cpu = time_of(usage.ru_utime) + time_of(usage.ru_stime);
+  const auto count = [](std::size_t n) { return static_cast<std::uint32_t>(n); };
+  record_.note(record::Kind::beat, 0,
+               static_cast<std::uint16_t>(std::min<Time::rep>(latest.count() / 1000, UINT16_MAX)),
+               {count(journal_.held().size()), count(upstream_.calls()), count(downstream_.connections())});
+  record_.note(record::Kind::load, 0, 0,
+               {record::us32(cpu - std::exchange(noted_cpu_, cpu)),
+                static_cast<std::uint32_t>(usage.ru_maxrss), count(upstream_.connections())});
+}
+
 void Relay::print_counters() {
   log_.report(counters_text(
       counters_, {journal_.size(), journal_.records(), journal_.compactions(), journal_.held().size()}));
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -18,8 +18,10 @@
 #include "downstream.hpp"
 #include "journal.hpp"
 #include "log.hpp"
+#include "loop_watch.hpp"
 #include "notices.hpp"
 #include "old_process.hpp"
+#include "recorder.hpp"
 #include "reducer.hpp"
 #include "signals.hpp"
 #include "upstream.hpp"
@@ -92,6 +94,8 @@
   void take_list(HostList list, bool cached);
   void set_ready();
   void print_counters();
+  void open_record();
+  void note_beat(Time latest);
 
   const Config config_;
   const std::function<Config()> reread_;
@@ -100,6 +104,7 @@
   asio::io_context io_;
   Log log_;
   Counters counters_;
+  record::Recorder record_;
   FileDescriptor lock_;  // on the state folder
   Journal journal_;
   Reducer reducer_;
@@ -108,10 +113,12 @@
   std::shared_ptr<Discovery> discovery_;  // at most one of these two is there
   std::shared_ptr<ConsulSource> consul_;
   Downstream downstream_;
+  LoopWatch loop_watch_;
   asio::steady_timer timer_;  // the module's
   asio::steady_timer stop_timer_;
   Signals signals_;
   std::vector<StreamId> unheard_;  // undelivered ends without a platform, recorded in the loop's next turn
+  Time noted_cpu_{};  // of this process, at the last beat
   bool ready_ = false;
   bool stopping_ = false;
 
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -206,13 +206,18 @@
   compare(running.allowance == wanted.allowance, "limits");
   compare(running.settings == wanted.settings, "settings");
   compare(running.upgrade == wanted.upgrade, "upgrade");
+  compare(running.record == wanted.record, "record");
   return parts;
 }
 
 void fill_limits(Config& config) {
   const starlinghook::Settings& s = config.boot.settings;
-  config.limits = make_limits(config.allowance, s.slots, s.max_held, s.connect_timeout, s.connection_idle,
-                              config.keeps_list);
+  Allowance allowance = config.allowance;
+  if (config.record && config.record->folder.empty()) {
+    allowance.disk_mb -= static_cast<double>(config.record->bytes) / 1e6;
+  }
+  config.limits =
+      make_limits(allowance, s.slots, s.max_held, s.connect_timeout, s.connection_idle, config.keeps_list);
 }
 
 Config read_config(const std::string& path, const std::string& settings_path) {
--- a/src/settings/config.hpp
+++ b/src/settings/config.hpp
@@ -11,6 +11,7 @@
 #include "consul_settings.hpp"
 #include "limits.hpp"
 #include "log_settings.hpp"
+#include "record_settings.hpp"
 #include "settings.hpp"
 #include "upgrade_settings.hpp"
 
@@ -33,6 +34,7 @@
   std::optional<ConsulSettings> consul;
   LogSettings log;
   std::optional<UpgradeSettings> upgrade;  // none: upgrades are off
+  std::optional<RecordSettings> record;    // none: no flight record
   bool keeps_list = false;  // a settings file is there, so a list may have to be kept on the disk
   std::uint64_t seed = 0;
   Allowance allowance;
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -263,6 +263,15 @@
     upgrade.taken = ms_of(in["upgrade"], "taken-ms", upgrade.taken);
     config.upgrade = std::move(upgrade);
   }
+  if (in.isMember("record")) {
+    RecordSettings record;
+    record.bytes = count_of(in["record"], "kib", record.bytes / 1024) * 1024;
+    record.folder = text_of(in["record"], "folder", "");
+    if (record.folder.empty() && static_cast<double>(record.bytes) > config.allowance.disk_mb * 1e6 / 2) {
+      file.fail("record.kib", "is more than half of the disk that the state folder may take");
+    }
+    config.record = std::move(record);
+  }
   const std::string source = text_of(in, "membership", platform ? "platform" : "list");
   if (source == "platform") {
     if (!config.platform) file.fail("membership", "there is no platform: expected list or consul");
