Keep callers' connections and hosts' connection limits free: admission in a module of its own

The module tells a refused new connection beside working ones from a limit on calls, and calls off overdue calls at such a host while messages wait.

--- a/src/core/limits.cpp
+++ b/src/core/limits.cpp
@@ -19,6 +19,8 @@
                                            std::min(slots, most_upstream), most_upstream);
   limits.downstream_connections =
       std::clamp<std::size_t>(memory / 2 / (96 * 1024), 4, sockets - limits.upstream_connections);
+  // Callers may hold a third of all descriptors for requests: half of that is kept free for new ones.
+  limits.asking_connections = std::min(allowance.sockets / 6, limits.downstream_connections / 2);
   limits.held = held;
   limits.unnoticed = held * 2 + 64;
   // While a journal is compacted the old and the new file stand side by side.
--- a/src/core/limits.hpp
+++ b/src/core/limits.hpp
@@ -26,6 +26,7 @@
 
   // Counts.
   std::size_t downstream_connections = 0;
+  std::size_t asking_connections = 0;  // of these, over which messages came, before idle ones close
   std::size_t upstream_connections = 0;
   std::size_t held = 0;       // messages that are owed an end
   std::size_t unnoticed = 0;  // these and the ended ones whose notice has not been taken
@@ -39,9 +40,8 @@
   // Guards the places against clients that connect and say nothing, or half of something.
   Time request = std::chrono::milliseconds(2500);
   Time downstream_idle = std::chrono::minutes(2);
-  Time spare_idle = std::chrono::seconds(2);  // where places are short, the longest idle make way after this
-  Time silent_first =
-      std::chrono::milliseconds(250);             // those that have said nothing yet, or half of something
+  // Where places are short, those that have said nothing yet, or half of something, or are idle, make way.
+  Time silent_first = std::chrono::milliseconds(250);
   Time newcomer = std::chrono::milliseconds(50);  // and where nothing else is left, a new one after this
   Time linger = std::chrono::seconds(2);          // of a closing connection, so that its answer is read
   Time connect{};
--- a/src/delivery_policy.cpp
+++ b/src/delivery_policy.cpp
@@ -59,7 +59,8 @@
 constexpr std::size_t kLogLines = 60;           // log lines in one life at most
 
 constexpr double kSlowTimes = 3;  // a destination that takes so many times the usual may hold half the slots
-constexpr double kNoAnswer = 1e3;
+constexpr double kNoLimit = 1e9;
+constexpr int kCrowdedPart = 4;  // one more call is tried after this part of the overload time
 constexpr Time kNever = Time::max();
 constexpr Time kLongAgo = Time::min() / 2;
 
@@ -118,6 +119,8 @@
   Health health;
   std::multiset<Time> out;  // calls in flight, by the time they were sent
   std::size_t connections = 0;
+  double most_out = kNoLimit;  // calls that its limit on connections leaves room for
+  Time crowded_at = kLongAgo;  // when that was seen last
   Time last_used = kLongAgo;
   std::uint64_t lot = 0;  // decides between equals, another order at each forwarder
 };
@@ -281,7 +284,8 @@
     if (e.finished || m.ended) return end(m);
     // The linear wait of the source, or the wait told.
     m.not_before = now_ + (e.told_wait > Time(0) ? e.told_wait : multiplier(*m.rules) * m.attempts);
-    if (e.outcome == Outcome::not_sent) m.not_before = now_ + s_.resolution;
+    const bool no_place = e.outcome == Outcome::full && endpoint.crowded_at == now_;
+    if (e.outcome == Outcome::not_sent || no_place) m.not_before = now_ + s_.resolution;
     wait(m);
   }
 
@@ -382,6 +386,13 @@
         route.pace_share = std::min(1.0, route.pace_share);
         break;
       case Outcome::full:
+        // Guards against an endpoint's limit on connections being taken for one on calls: a new connection is
+        // refused while others of this forwarder work.
+        if (e.idle == Time(0) && e.told_wait == Time(0) && endpoint.out.size() > 1) {
+          endpoint.most_out = static_cast<double>(endpoint.out.size()) - 1;
+          endpoint.crowded_at = now_;
+          break;
+        }
         // Waits only grow: a later answer never shortens one.
         destinations_.at(endpoint.entry.destination).look_at = kLongAgo;
         if (e.told_wait > Time(0)) route.wait_until = std::max(route.wait_until, now_ + e.told_wait);
@@ -477,10 +488,6 @@
     h.earned = h.sick ? h.earned + 1 : 0;
   }
 
-  // So many share the destination that a call here is rare, and none succeeded lately.
-  bool rare(const Health& h, double rate) const {
-    return rate < s_.forwarders && h.last_ok + s_.overload_time < now_;
-  }
   // Guards against sending every new message into an outage: refused connections, errors, silence.
   void note_failure(Health& h, Outcome outcome, double rate) {
     const bool doubtful = outcome != Outcome::connect_failed;
@@ -488,8 +495,11 @@
     ++h.fail_run;
     h.fail_share += kShareStep * (1 - h.fail_share);
     h.doubt_share += kShareStep * ((doubtful ? 1 : 0) - h.doubt_share);
-    // One reset alone may be an answer lost on its way while the work is done; a crash resets many.
-    const bool alone = rare(h, rate) && outcome != Outcome::reset;
+    // Where so many share the destination that a call here is rare, and none succeeded lately, one failure is
+    // enough. But one reset alone may be an answer lost on its way while the work is done; a crash resets
+    // many.
+    const bool rare = rate < s_.forwarders && h.last_ok + s_.overload_time < now_;
+    const bool alone = rare && outcome != Outcome::reset;
     const bool outage = h.fail_run >= kSickRun || h.fail_share >= kSickFailShare || alone;
     if (!h.sick && (outage || !doubtful)) {
       h.sick = true;
@@ -536,17 +546,22 @@
   void close_call(std::size_t id, Outcome outcome, bool connection_only) {
     Call call = calls_.at(id);
     Endpoint& endpoint = endpoints_.at(call.endpoint);
-    note_overdue(call, *endpoint.route, outcome);
+    const Time span = now_ - call.sent_at, stall = stall_time(*endpoint.route);
+    // The share of overdue calls that are never answered; one called off too early for that tells nothing.
+    if (span >= (answered(outcome) ? stall / 2 : stall)) {
+      lost_share_ = lost_share() + kLostStep * ((answered(outcome) ? 0 : 1) - lost_share());
+      lost_at_ = now_;
+    }
     endpoint.out.erase(endpoint.out.find(call.sent_at));
     --endpoint.route->in_flight;
     if (outcome == Outcome::delivered) {
       Route& r = *endpoint.route;
-      const double took = seconds(now_ - call.sent_at);
+      const double took = seconds(span);
       const double step = r.answer_mean == 0 ? 1 : kLatencyStep;  // the first answer stands for all
       r.answer_spread += step * ((step == 1 ? took / 2 : std::abs(took - r.answer_mean)) - r.answer_spread);
       r.answer_mean += step * (took - r.answer_mean);
       const double log_took = std::log(std::max(1e-3, took));  // the slow ones weigh little in its mean
-      usual_answer_ += (usual_answer_ < kNoAnswer ? kLatencyStep : 1) * (log_took - usual_answer_);
+      usual_answer_ += (usual_answer_ < kNoLimit ? kLatencyStep : 1) * (log_took - usual_answer_);
     }
     if (answered(outcome)) {
       endpoint.last_used = now_;
@@ -561,13 +576,6 @@
   static bool answered(Outcome o) {
     return o == Outcome::delivered || o == Outcome::full || o == Outcome::error;
   }
-  // The share of overdue calls that are never answered; one called off too early for that tells nothing.
-  void note_overdue(const Call& call, const Route& r, Outcome outcome) {
-    const Time took = now_ - call.sent_at, stall = stall_time(r);
-    if (took < (answered(outcome) ? stall / 2 : stall)) return;
-    lost_share_ = lost_share() + kLostStep * ((answered(outcome) ? 0 : 1) - lost_share());
-    lost_at_ = now_;
-  }
   double lost_share() const { return lost_share_ * std::exp2(-seconds(now_ - lost_at_) / kLostKept); }
   // How long a call may hold a slot that others want: the less overdue calls are answered, the shorter.
   Time slot_patience(const Call& call, const Endpoint& e) const {
@@ -657,6 +665,13 @@
     return h.sends.front() + s_.overload_time;
   }
 
+  // No more calls fit on the connections that the endpoint takes. One more is tried now and then: others may
+  // have let go.
+  bool crowded_out(const Endpoint& e) const {
+    const double more = seconds(now_ - e.crowded_at) / seconds(s_.overload_time / kCrowdedPart);
+    return static_cast<double>(e.out.size()) >= e.most_out + std::floor(more);
+  }
+
   // --- The gate
   // Every send passes here. Returns now if it may go, else the time at which to look again, or kNever when
   // only an event can open the way. Without a message: the rules that bind any send.
@@ -667,6 +682,7 @@
     if (open_call(e) == calls_.end()) {
       if (calls_.size() >= s_.slots) return kNever;
       if (r.in_flight >= static_cast<std::size_t>(r.window)) return kNever;
+      if (crowded_out(e)) return kNever;
       for (Health* h : {&e.health, &r.health}) {
         open = std::max(open, h->rest_until);
         std::size_t out = h == &e.health ? e.out.size() : r.in_flight;
@@ -699,16 +715,14 @@
       }
     }
     // A message that cannot be repeated is kept back while calls here may fail with their effect unknown.
-    if (m->rules->effect == Effect::unsafe && holds_unsafe(e)) {
+    const double doubt = std::max(e.health.doubt_share, r.health.doubt_share);
+    if (m->rules->effect == Effect::unsafe && (doubt >= kDoubtHeld || stalled(e))) {
       Time last_chance = m->deadline - stall_time(r);
       if (last_chance > open) open = last_chance;
     }
     return open;
   }
 
-  bool holds_unsafe(const Endpoint& e) const {
-    return e.health.doubt_share >= kDoubtHeld || e.route->health.doubt_share >= kDoubtHeld || stalled(e);
-  }
   // Sends of one moment to one endpoint share a call where its kind allows it.
   std::map<std::size_t, Call>::iterator open_call(const Endpoint& e) {
     std::size_t batch = e.entry.kind < s_.kinds.size() ? s_.kinds[e.entry.kind].batch : 1;
@@ -743,14 +757,11 @@
   }
 
   // The endpoint that is least busy, in the own zone where crossing costs, over a connection that is open.
-  double endpoint_cost(const Endpoint& e) const {
-    double cost = static_cast<double>(e.out.size()) + 4 * e.health.fail_share;
-    if (e.entry.zone != s_.zone && s_.cross_zone_price > 0) cost += 1;
-    return warm(e) ? cost : cost + 0.5;
-  }
   // The lot guards against all forwarders starting with the same endpoint and staying on its connection.
   std::tuple<double, Time, std::uint64_t> rank(const Endpoint& e) const {
-    return {endpoint_cost(e), e.last_used, e.lot};
+    double cost = static_cast<double>(e.out.size()) + 4 * e.health.fail_share;
+    if (e.entry.zone != s_.zone && s_.cross_zone_price > 0) cost += 1;
+    return {warm(e) ? cost : cost + 0.5, e.last_used, e.lot};
   }
   bool warm(const Endpoint& e) const {
     if (e.connections == 0) return false;
@@ -802,19 +813,15 @@
     std::map<DestinationId, Choice> choices;
     for (DestinationId id : busy_) choices[id] = choose(destinations_.at(id), slots_drain);
     while (true) {
-      Choice* best = nullptr;
-      Destination* best_destination = nullptr;
-      for (auto& [id, choice] : choices) {
-        if (!choice.message || (best && choice.gain <= best->gain)) continue;
-        best = &choice;
-        best_destination = &destinations_.at(id);
+      const auto less = [](const auto& a, const auto& b) { return a.second.gain < b.second.gain; };
+      const auto best = std::max_element(choices.begin(), choices.end(), less);
+      if (best == choices.end() || !best->second.message) break;
+      Choice& choice = best->second;
+      if (gate(*choice.endpoint, choice.message) <= now_) {
+        send(*choice.message, *choice.endpoint);
+        stop_waiting(*choice.message);
       }
-      if (!best) break;
-      if (gate(*best->endpoint, best->message) <= now_) {
-        send(*best->message, *best->endpoint);
-        stop_waiting(*best->message);
-      }
-      *best = choose(*best_destination, slots_drain);
+      choice = choose(destinations_.at(best->first), slots_drain);
     }
   }
 
@@ -822,7 +829,7 @@
   struct Choice {
     Message* message = nullptr;
     Endpoint* endpoint = nullptr;
-    double gain = 0;
+    double gain = -1;  // less than of any message
   };
 
   Choice choose(Destination& d, double slots_drain) {
@@ -877,7 +884,12 @@
       if (!warm(e)) e.connections = connections_for(e.out.size() + 1);
       e.out.insert(now_);
       ++r.in_flight;
-      note_send(e);
+      r.tokens -= 1;
+      if (taking_turns(r)) r.turn = now_ + some_of(r.spread);
+      for (Health* h : {&r.health, &e.health}) {
+        h->sends.push_back(now_);
+        if (h->sick) draw_trial(*h, r.rate);
+      }
     }
     call->second.unsafe |= m.rules->effect == Effect::unsafe;
     ++call->second.members;
@@ -888,16 +900,6 @@
     act(Send{m.facts.id, e.entry.endpoint, attempt_timeout(r, m, call->second.idle), most_idle()});
   }
 
-  void note_send(Endpoint& e) {
-    Route& r = *e.route;
-    r.tokens -= 1;
-    if (taking_turns(r)) r.turn = now_ + some_of(r.spread);
-    for (Health* h : {&r.health, &e.health}) {
-      h->sends.push_back(now_);
-      if (h->sick) draw_trial(*h, r.rate);
-    }
-  }
-
   // A waiting message that no endpoint can take in the time left gets its answer at once.
   // Guards the time that each event costs: while nothing has changed that bears on it, all that wait are
   // looked through only when it is due for the first of them, and now and then.
@@ -920,47 +922,40 @@
     const std::size_t room = s_.max_held - std::min(s_.max_held - 1, share_of(s_.max_held, kRoomReserve));
     auto promise = [this](const Message& m) { return worth_at(m, now_ + (now_ - m.handed_in)); };
     while (messages_.size() > room) {
-      Message* least = nullptr;
-      double least_promise = 0;
+      std::pair<double, Message*> least{kNoLimit, nullptr};
       for (DestinationId id : busy_) {
         for (Message* m : destinations_.at(id).waiting) {
-          const double p = promise(*m);
-          if (least && p >= least_promise) continue;
-          least = m;
-          least_promise = p;
+          if (const double p = promise(*m); p < least.first) least = {p, m};
         }
       }
-      if (!least) return;
-      answer(*least, destinations_.at(least->facts.destination), true);
+      if (!least.second) return;
+      answer(*least.second, destinations_.at(least.second->facts.destination), true);
     }
   }
 
-  // Guards against calls without an answer holding every slot while messages wait: silence, stalls, slow
-  // tails. The most overdue call is called off; its answer may have been about to come.
+  // Guards against calls without an answer holding every slot, or every connection that an endpoint takes,
+  // while messages wait: silence, stalls, slow tails. The most overdue call is called off; its answer may
+  // have been about to come.
   void free_slots() {
-    if (!s_.can_cancel || calls_.size() < s_.slots) return;
-    bool wanted = false;
-    for (DestinationId id : busy_) {
+    if (!s_.can_cancel) return;
+    bool wanted = false;  // any slot
+    for (DestinationId id : calls_.size() < s_.slots ? std::set<DestinationId>() : busy_) {
       for (EndpointId endpoint : destinations_.at(id).endpoints) wanted |= !unwell(endpoints_.at(endpoint));
     }
-    if (!wanted) return;
-    std::size_t most = 0;
-    double most_overdue = 1;
-    Time next = now_ + base_multiplier() / 2;  // a call may count as stalled by then
+    std::pair<double, std::size_t> most{1, 0};
+    Time next = wanted ? now_ + base_multiplier() / 2 : kNever;  // a call may count as stalled by then
     for (const auto& [id, call] : calls_) {
       if (call.cancelled) return;  // one at a time: its slot is about to come free
       const Endpoint& e = endpoints_.at(call.endpoint);
+      if (!wanted && !(busy_.count(e.entry.destination) && crowded_out(e))) continue;
       const Time patience = slot_patience(call, e);
-      const double overdue = seconds(now_ - call.sent_at) / seconds(patience);
       next = std::min(next, call.sent_at + patience + Time(1));
-      if (overdue <= most_overdue) continue;
-      most = id;
-      most_overdue = overdue;
+      most = std::max(most, std::pair(seconds(now_ - call.sent_at) / seconds(patience), id));
     }
-    if (most == 0) return wake_at(std::max(next, now_ + s_.resolution));
-    calls_.at(most).cancelled = true;
+    if (most.second == 0) return wake_at(std::max(next, now_ + s_.resolution));
+    calls_.at(most.second).cancelled = true;
     for (const auto& [id, m] : messages_) {
-      if (m.call == most) act(Cancel{id, m.attempts - 1});
+      if (m.call == most.second) act(Cancel{id, m.attempts - 1});
     }
   }
 
@@ -991,9 +986,10 @@
   void answer(Message& m, const Destination& d, bool for_room = false) {
     bool may_refuse = !m.may_have_run || m.rules->effect == Effect::safe ||
                       (m.rules->effect == Effect::keyed && m.rules->key_scope == KeyScope::all);
-    const Why why = for_room                          ? Why::room
+    const Why why = for_room                        ? Why::room
                     : m.attempts >= s_.max_attempts ? Why::attempts
-                                                    : may_refuse ? Why::time : Why::doubt;
+                    : may_refuse                    ? Why::time
+                                                    : Why::doubt;
     may_refuse ? act(Refuse{m.facts.id, return_after(d), why}) : act(Fail{m.facts.id, why});
     end(m);
   }
@@ -1056,9 +1052,9 @@
   std::map<std::uint32_t, Time> scarce_until_;  // by kind: connections are not kept idle
   double lost_share_ = 0;                       // of overdue calls, as it was at that time
   Time lost_at_{};
-  double usual_answer_ = kNoAnswer;  // mean of the logarithm of answer times, in seconds
-  double arrivals_ = 0;              // messages in this life
-  double listed_rate_ = 0;           // of all routes
+  double usual_answer_ = kNoLimit;  // mean of the logarithm of answer times, in seconds
+  double arrivals_ = 0;             // messages in this life
+  double listed_rate_ = 0;          // of all routes
   std::size_t log_lines_ = 0;
   int list_failures_ = 0;
   Time next_ask_ = kNever;
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "adopted.hpp"
+#include "clock.hpp"
 #include "http_memory.hpp"
 #include "names.hpp"
 #include "number.hpp"
@@ -92,11 +93,13 @@
     read();
   }
 
+  Time since() const { return std::chrono::duration_cast<Time>(since_.time_since_epoch()); }
+  bool leaving() const { return lingering_; }
   int descriptor() { return socket_.native_handle(); }
   template <class Archive>
   void remember(Archive& archive) {
     auto expiry = timer_.expiry();
-    archive(in_, out_, since_, expiry, served_, ended_, closing_, lingering_, broken_);
+    archive(in_, out_, since_, expiry, served_, handed_in_, ended_, closing_, lingering_, broken_);
     request_.remember(archive);
     if (Archive::is_loading::value) timer_.expires_at(expiry);
   }
@@ -117,26 +120,15 @@
     asio::error_code ignored;
     return socket_.available(ignored) > 0;
   }
-  // How readily the connection makes way for another; among equals, that which has waited for longest. A
-  // usual client sends its request at once and whole: who has said nothing or half of something for a while
-  // holds only a place. One that was of use and stays makes way after a longer while, or where all others are
-  // of more use.
-  enum class Claim { spent, silent, unused, resting, newcomer, busy };
-  Claim claim(std::chrono::steady_clock::time_point now) const {
-    if (lingering_) return Claim::spent;
-    if (closing_ || !out_.empty() || busy_) return Claim::busy;
-    const auto age = now - since_;
-    if (served_ && quiet()) {
-      return age >= limits_.spare_idle     ? Claim::unused
-             : age >= limits_.silent_first ? Claim::resting
-                                           : Claim::busy;
-    }
-    if (age >= limits_.silent_first) return Claim::silent;
-    return !served_ && age >= limits_.newcomer ? Claim::newcomer : Claim::busy;
+  // Tells how it stands, after anything that may have changed it.
+  void tell() {
+    admission::Places& places = owner_.places_;
+    if (lingering_) return places.closes(number_, steady_now());
+    if (closing_ || !out_.empty()) return places.busy(number_);
+    if (!quiet()) return places.begun(number_, steady_now());
+    if (!told_ && served_) places.rests(number_, steady_now(), handed_in_);
+    told_ = true;
   }
-  std::chrono::steady_clock::time_point since() const { return since_; }
-  bool served_message() const { return messages_ && !closing_; }
-  void touch() { busy_ = true; }  // bytes have come that will be read soon
 
   // Puts the answer into the ring and as much of it on its way as goes at once, so that it leaves before what
   // the relay does next.
@@ -163,6 +155,7 @@
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     timer_.expires_after(limits_.linger);
     await_lingered();
+    tell();
   }
 
   // Closes at once, so that the place is free; half a request hears why, if the answer leaves in one piece.
@@ -176,6 +169,7 @@
     timer_.cancel();
     socket_.close(ignored);
     if (owner_.sessions_.erase(number_) == 0) return;
+    owner_.places_.leave(number_);
     owner_.record_.note(record::Kind::client, number_, static_cast<std::uint16_t>(how),
                         {record::ms32(span_since(accepted_)), requests_, record::ms32(span_since(since_))});
   }
@@ -183,7 +177,7 @@
  private:
   void wait_for_request() {
     since_ = std::chrono::steady_clock::now();
-    owner_.trim();
+    told_ = false;
     arm(limits_.downstream_idle);
   }
   void await_lingered() {
@@ -214,7 +208,6 @@
     reading_ = true;
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](asio::error_code e) {
       self->reading_ = false;
-      self->busy_ = false;
       if (!self->socket_.is_open()) return;
       if (e) return self->drop(Parting::by_client);
       const std::span<char> space = self->in_.space();
@@ -278,7 +271,7 @@
     }
     auto& message = std::get<Offered>(offer);
     message.reply = number_;
-    messages_ = true;
+    handed_in_ = true;
     owner_.on_offer_(std::move(message));
   }
 
@@ -323,6 +316,7 @@
       return read_if_idle();
     }
     await_room();
+    tell();
   }
   void await_room() {
     writing_ = true;
@@ -338,8 +332,9 @@
   }
   void read_if_idle() {
     if (lingering_) in_.clear();
-    if (!in_.empty()) return;
-    read();
+    if (in_.empty()) read();
+    tell();
+    owner_.close_surplus();  // perhaps this one
   }
 
   Downstream& owner_;
@@ -354,11 +349,11 @@
       std::chrono::steady_clock::now();                      // by this process
   std::chrono::steady_clock::time_point since_ = accepted_;  // it has been as it is
   std::uint32_t requests_ = 0;
-  bool messages_ = false;
-  Time waited_{};        // of the newest request, where that is recorded
-  bool served_ = false;  // a whole request has come
+  bool handed_in_ = false;  // a message, over this connection
+  bool told_ = false;       // that it rests, since its newest request
+  Time waited_{};           // of the newest request, where that is recorded
+  bool served_ = false;     // a whole request has come
   bool reading_ = false;
-  bool busy_ = false;  // bytes have come that have not been read
   bool writing_ = false;
   bool ended_ = false;    // the client sends no more
   bool closing_ = false;  // nothing more is answered
@@ -375,7 +370,9 @@
       record_(record),
       on_offer_(std::move(on_offer)),
       acceptor_(io),
-      pause_(io) {}
+      pause_(io),
+      places_({config.limits.downstream_connections, config.limits.asking_connections,
+               config.limits.silent_first, config.limits.newcomer}) {}
 Downstream::~Downstream() = default;
 
 void Downstream::listen() {
@@ -410,6 +407,7 @@
     ++counters_.clients;
     const auto session = std::make_shared<Session>(*this, std::move(socket), next_++);
     sessions_.emplace(next_ - 1, session);
+    places_.enter(next_ - 1, steady_now());
     session->start();
     if (!room) {
       record_.note(record::Kind::no_place, 0, 0, {static_cast<std::uint32_t>(sessions_.size())});
@@ -419,15 +417,17 @@
   });
 }
 
-void Downstream::trim() {
-  std::shared_ptr<Session> oldest;
-  std::size_t n = 0;
-  for (const auto& [number, s] : sessions_) {
-    if (!s->served_message()) continue;
-    ++n;
-    if (s->idle() && (!oldest || s->since() < oldest->since())) oldest = s;
+void Downstream::close_surplus() {
+  while (const auto id = places_.surplus()) {
+    const std::shared_ptr<Session> session = sessions_.at(*id);
+    // Guards against closing on a request that has come and has not been read: it is read in its turn.
+    if (session->unread()) {
+      places_.busy(*id);
+      continue;
+    }
+    ++counters_.made_way;
+    session->make_way();
   }
-  if (n > config_.allowance.sockets / 6 && oldest) oldest->make_way();
 }
 
 void Downstream::pause_accepting() {
@@ -442,28 +442,19 @@
 // Guards the descriptors, and usual clients against those that only hold places: where all are taken, the one
 // with the least claim makes way.
 bool Downstream::make_room() {
-  if (sessions_.size() + 1 < config_.limits.downstream_connections) return true;
-  const auto now = std::chrono::steady_clock::now();
-  using Key = std::pair<Session::Claim, std::chrono::steady_clock::time_point>;
-  while (true) {
-    std::shared_ptr<Session> least;
-    Key key{Session::Claim::busy, {}};
-    for (const auto& [number, session] : sessions_) {
-      const Key k{session->claim(now), session->since()};
-      if (k.first == Session::Claim::busy || (least && key <= k)) continue;
-      least = session;
-      key = k;
-    }
-    if (!least) return false;
+  while (!places_.room()) {
+    const auto id = places_.least(steady_now());
+    if (!id) return false;
+    const std::shared_ptr<Session> session = sessions_.at(*id);
     // Guards against closing on a request that has come and has not been read: it is read in its turn.
-    if (key.first != Session::Claim::spent && least->unread()) {
-      least->touch();
+    if (!session->leaving() && session->unread()) {
+      places_.busy(*id);
       continue;
     }
     ++counters_.made_way;
-    least->make_way();
-    return true;
+    session->make_way();
   }
+  return true;
 }
 
 void Downstream::answer(const Answer& answer) {
@@ -500,6 +491,7 @@
       const auto session = std::make_shared<Session>(*this, std::move(socket), number);
       session->remember(archive);
       sessions_.emplace(number, session);
+      places_.enter(number, session->since());
     }
   });
 }
--- a/src/http/downstream.hpp
+++ b/src/http/downstream.hpp
@@ -14,6 +14,7 @@
 #include "descriptor.hpp"
 #include "http.hpp"
 #include "log.hpp"
+#include "places.hpp"
 #include "recorder.hpp"
 #include "reducer.hpp"
 
@@ -49,7 +50,7 @@
   void accept();
   void pause_accepting();
   bool make_room();
-  void trim();
+  void close_surplus();
 
   asio::io_context& io_;
   const Config& config_;
@@ -60,6 +61,7 @@
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer pause_;
   std::map<ReplyTo, std::shared_ptr<Session>> sessions_;
+  admission::Places places_;
   ReplyTo next_ = 1;
   bool ready_ = false;
   bool said_ = false;  // that a connection cannot be accepted
--- a/src/record/entry.hpp
+++ b/src/record/entry.hpp
@@ -22,7 +22,8 @@
   answered,  // subject: the connection; code: the status; n: Door, us from readable to answered, the stream
   restored,  // subject: the stream; code: the class; n: tenant, destination, ms left; name: the message
   call,  // subject: the stream; code: the attempt; n: the host, ms until it is given up; name: its address
-  call_ended,  // subject: the stream; code: the outcome; n: the attempt, ms of a told wait, ms that its connection had stood idle (0: a new one)
+  call_ended,  // subject: the stream; code: the outcome; n: the attempt, ms of a told wait, ms that its
+               // connection had stood idle (0: a new one)
   given_up,    // subject: the stream; code: Verdict; n: starlinghook::Why, ms until it may come again
   ended,       // subject: the stream; code: End
   host,        // subject: the host; code: its condition; n: destination, rate in thousandths; name: its id
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -118,7 +118,7 @@
   asio::steady_timer stop_timer_;
   Signals signals_;
   std::vector<StreamId> unheard_;  // undelivered ends without a platform, recorded in the loop's next turn
-  Time noted_cpu_{};  // of this process, at the last beat
+  Time noted_cpu_{};               // of this process, at the last beat
   bool ready_ = false;
   bool stopping_ = false;
 
--- a/src/relay/relay_upgrade.cpp
+++ b/src/relay/relay_upgrade.cpp
@@ -15,7 +15,7 @@
 namespace fennellane {
 namespace {
 
-constexpr std::uint32_t kMemoryVersion = 1;
+constexpr std::uint32_t kMemoryVersion = 2;
 
 std::string ms_text(Time span) {
   char text[32];
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1114,6 +1114,44 @@
   EXPECT_LT(held.back(), milliseconds(1200));
 }
 
+// An endpoint that takes only so many connections refuses a new one while others work. That is no limit on
+// calls: what waits goes out as calls end, none beyond them, and one more is tried only after a while.
+TEST(ConnectionLimit, IsNoLimitOnCalls) {
+  Settings s = settings();
+  s.slots = 16;
+  Bench b(s);
+  warm_up(b, 1, 6, 7);
+  const std::size_t before = b.sent.size();
+  for (MessageId id = 100; id < 110; ++id) b.message(id);
+  ASSERT_EQ(b.sent.size(), before + 7) << "the window";
+  b.give(AttemptEnded{106, 0, 1, Outcome::full, false, Time(0), false, {}, false, Time(0)});
+  b.advance(milliseconds(100));
+  EXPECT_EQ(b.sent.size(), before + 7) << "six work, and there is room for no more";
+  for (MessageId id = 100; id < 103; ++id) {
+    b.outcome(id, Outcome::delivered);
+    b.advance(milliseconds(10));
+  }
+  EXPECT_EQ(b.sent.size(), before + 10) << "each that ends makes way for one";
+  b.advance(milliseconds(600));
+  EXPECT_EQ(b.sent.size(), before + 10);
+  b.advance(milliseconds(200));
+  EXPECT_EQ(b.sent.size(), before + 11) << "one more is tried";
+  EXPECT_EQ(b.sends_of(106), 2u) << "the refused one does not wait as after a refusal";
+}
+
+// Calls that are never answered hold the few connections that an endpoint takes, while slots are free.
+TEST(ConnectionLimit, OverdueCallsMakeWayWhileMessagesWait) {
+  Settings s = settings();
+  s.slots = 100;
+  Bench b(s);
+  warm_up(b, 1, 6, 7);
+  for (MessageId id = 100; id < 130; ++id) b.message(id);
+  ASSERT_EQ(b.sends_of(106), 1u);
+  b.give(AttemptEnded{106, 0, 1, Outcome::full, false, Time(0), false, {}, false, Time(0)});
+  b.advance(seconds(5));
+  EXPECT_FALSE(b.cancelled.empty());
+}
+
 // Guards the memory of a long life: endpoints that are gone and keys that are over are forgotten.
 // A forwarder that is loaded goes on exactly as the saved one does: the same events bring the same actions,
 // through refusals with and without waits, failures, drains, restarts of the timer and messages in every
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -101,6 +101,39 @@
   EXPECT_NE(relay.log().find("counters clients="), std::string::npos);
 }
 
+// Callers have only so many connections for one relay, a third of its descriptors. Guards against those that
+// ask once and stay using them up: the longest idle close early, while one that is used again stays.
+TEST(Relay, ClosesTheLongestIdleBeforeCallersHaveNoConnectionLeft) {
+  Server host([](const Request&) { return answer("200 OK"); });
+  Platform platform({{"s-1", host.address()}});
+  ConfigParts parts;
+  parts.sockets = 240;
+  Program relay(platform.address(), parts);
+  relay.start();
+  constexpr int kClients = 150, kThird = 80;
+  asio::io_context io;
+  std::vector<tcp::socket> clients;
+  tcp::socket usual = relay.connected(io);
+  char piece[512];
+  const auto ask = [&](tcp::socket& socket, const std::string& id) {
+    asio::write(socket, asio::buffer(request_text(id)));
+    return std::string(piece, socket.read_some(asio::buffer(piece)));
+  };
+  int open_most = 0;
+  for (int i = 0; i < kClients; ++i) {
+    ASSERT_NE(ask(usual, "usual" + std::to_string(i)).find("202"), std::string::npos) << i;
+    clients.push_back(relay.connected(io));
+    ASSERT_NE(ask(clients.back(), "once" + std::to_string(i)).find("202"), std::string::npos) << i;
+    int open = 0;
+    for (tcp::socket& client : clients) {
+      const ssize_t n = ::recv(client.native_handle(), piece, 1, MSG_PEEK | MSG_DONTWAIT);
+      open += n < 0 && errno == EAGAIN;
+    }
+    open_most = std::max(open_most, open);
+  }
+  EXPECT_LT(open_most, kThird);
+}
+
 // Guards against discovery's garbage: it is logged, the list held before still stands, and a watch is taken
 // up again.
 TEST(Relay, OutlivesALineOfDiscoveryThatCannotBeRead) {
