--- a/src/delivery_policy.cpp
+++ b/src/delivery_policy.cpp
@@ -281,6 +281,7 @@
       Time& quiet = keys_[m.facts.key].quiet_until;  // the work may still go on
       quiet = std::max(quiet, now_ + s_.key_quiet);
     }
+    if (e.outcome == Outcome::not_sent) endpoint.route->tokens += 1;  // it used nothing of the limit up
     if (e.finished || m.ended) return end(m);
     // The linear wait of the source, or the wait told.
     m.not_before = now_ + (e.told_wait > Time(0) ? e.told_wait : multiplier(*m.rules) * m.attempts);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1139,6 +1139,22 @@
   EXPECT_EQ(b.sends_of(106), 2u) << "the refused one does not wait as after a refusal";
 }
 
+// A message that is over before its call, or a call held back, uses nothing of the destination's limit up:
+// the next one goes at once, where the pace would have had it wait.
+TEST(Pace, ACallThatWasNotSentGivesItsPartBack) {
+  Bench b(settings(), {{1, 7, 0, 0, 4, Condition::ready}});
+  warm_up(b, 1, 6, 7);
+  for (MessageId id = 100; id < 106; ++id) b.message(id);
+  const std::size_t burst = b.sent.size();
+  ASSERT_LT(burst, 6u + 6u) << "the pace holds some back";
+  b.outcome(100, Outcome::not_sent, Time(0), true);
+  b.advance(milliseconds(10));
+  EXPECT_EQ(b.sent.size(), burst + 1);
+  b.outcome(101, Outcome::delivered);
+  b.advance(milliseconds(10));
+  EXPECT_EQ(b.sent.size(), burst + 1);
+}
+
 // Calls that are never answered hold the few connections that an endpoint takes, while slots are free.
 TEST(ConnectionLimit, OverdueCallsMakeWayWhileMessagesWait) {
   Settings s = settings();
--- a/tools/measure_upgrade.cpp
+++ b/tools/measure_upgrade.cpp
@@ -7,10 +7,7 @@
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <asio/buffer.hpp>
-#include <asio/co_spawn.hpp>
-#include <asio/redirect_error.hpp>
 #include <asio/steady_timer.hpp>
-#include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
 #include <atomic>
 #include <cstdio>
@@ -23,8 +20,9 @@
 #include <sstream>
 #include <thread>
 
-#include "client.hpp"
 #include "figures.hpp"
+#include "http.hpp"
+#include "load.hpp"
 #include "partner.hpp"
 #include "relay_process.hpp"
 #include "run_file.hpp"
@@ -66,85 +64,6 @@
   return out.str();
 }
 
-std::string request_of(const std::string& id, bool pay, std::size_t destination, std::size_t body,
-                       const std::string& budget) {
-  const std::string name = pay ? "pay" : "note";
-  return "POST /" + name + " HTTP/1.1\r\nHost: relay\r\nX-Call-Id: " + id + "\r\nX-Call-Class: " + name +
-         "\r\nX-Caller: north\r\nX-Budget-Ms: " + budget +
-         "\r\nX-Consignee: dest=" + std::to_string(destination) +
-         "\r\nContent-Length: " + std::to_string(body) + "\r\n\r\n" + std::string(body, 'x');
-}
-
-struct Answered {
-  std::string id;
-  Moment intended;
-  double ms = 0;
-  unsigned status = 0;  // 0: none came
-  bool pay = false;
-};
-
-// Arrivals at set moments, over connections that stay; latency counts from the intended moment.
-class Load {
- public:
-  Load(const Address& relay, double rate, std::size_t connections) : relay_(relay) {
-    const auto period = std::chrono::duration_cast<steady_clock::duration>(
-        duration<double>(static_cast<double>(connections) / rate));
-    const Moment start = steady_clock::now() + milliseconds(20);
-    for (std::size_t i = 0; i < connections; ++i) {
-      asio::co_spawn(io_,
-                     client(i, start + period * static_cast<int>(i) / static_cast<int>(connections), period),
-                     rethrow);
-    }
-    thread_ = std::thread([this] { io_.run(); });
-  }
-  ~Load() { stop(); }
-  void stop() {
-    stopped_ = true;
-    if (thread_.joinable()) thread_.join();
-  }
-  // After `stop`.
-  const std::vector<Answered>& answers() const { return answers_; }
-  std::size_t resets() const { return resets_; }
-
- private:
-  asio::awaitable<void> client(std::size_t number, Moment next, steady_clock::duration period) {
-    Client client(io_, relay_, limits_, 65536);
-    asio::steady_timer timer(io_);
-    constexpr std::chrono::seconds kAnswer{5};
-    for (std::size_t n = 0; !stopped_; ++n, next += period) {
-      timer.expires_at(next);
-      asio::error_code ignored;
-      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-      Answered answer{"m" + std::to_string(number) + "-" + std::to_string(n), next, 0, 0,
-                      (number + n) % 4 == 0};
-      bool good = client.open();
-      if (!good) good = co_await client.connect(kAnswer);
-      if (good) {
-        std::string text = request_of(answer.id, answer.pay, (number + n) % kPartners, 1500, "20000");
-        good = co_await client.send(std::move(text), kAnswer);
-      }
-      if (good) good = co_await client.read_answer(kAnswer);
-      if (good) {
-        answer.status = client.answer().status();
-        client.answer().take_body();
-      } else {
-        ++resets_;
-        client.close();
-      }
-      answer.ms = duration<double, std::milli>(steady_clock::now() - next).count();
-      answers_.push_back(std::move(answer));
-    }
-  }
-
-  const Address relay_;
-  Limits limits_;
-  asio::io_context io_{1};
-  std::atomic<bool> stopped_ = false;
-  std::vector<Answered> answers_;
-  std::size_t resets_ = 0;
-  std::thread thread_;
-};
-
 // Connects anew again and again, as a client does that has just come.
 class Prober {
  public:
@@ -251,7 +170,7 @@
   RelayProcess relay(program);
   relay.replace_settings(settings_text(relay, partners, {}));
   relay.start();
-  Load load({"127.0.0.1", relay.port()}, rate, connections);
+  Load load({"127.0.0.1", relay.port()}, {rate, connections, kPartners, 4, 1500, "20000"});
   Prober prober(relay);
   std::this_thread::sleep_for(seconds(1));
   struct Window {
@@ -292,12 +211,13 @@
       "| %.0f | %zu | %d of %d | %zu | %zu | %zu | %zu | %zu | %zu | %zu | %.1f / %.1f | %.2f / %.2f | %.1f "
       "/ %.1f | %.1f |\n",
       static_cast<double>(a.offered) / (spent + 1), a.taken, good, upgrades, a.lost, a.doubled + a.repeated,
-      a.late, a.late_answers, a.refused, load.resets() + prober.failed(), a.undelivered,
+      a.late, a.late_answers, a.refused, load.resets() + load.resent() + prober.failed(), a.undelivered,
       percentile(still, 0.5), percentile(still, 1), percentile(in, 0.99), percentile(out, 0.99), longest_in,
       longest_out, prober.longest());
   std::fflush(stdout);
-  return good == upgrades &&
-         a.lost + a.doubled + a.repeated + a.late + a.late_answers + load.resets() + prober.failed() == 0;
+  return good == upgrades && a.lost + a.doubled + a.repeated + a.late + a.late_answers + load.resets() +
+                                     load.resent() + prober.failed() ==
+                                 0;
 }
 
 void in_a_row_head() {
@@ -316,7 +236,7 @@
   RelayProcess relay(program);
   relay.replace_settings(settings_text(relay, partners, {}));
   relay.start();
-  Load load({"127.0.0.1", relay.port()}, rate, 100);
+  Load load({"127.0.0.1", relay.port()}, {rate, 100, kPartners, 4, 1500, "20000"});
   std::this_thread::sleep_for(milliseconds(500));
   std::mt19937_64 random(seed);
   std::map<std::string, int> ends;
@@ -406,7 +326,7 @@
   for (std::size_t i = 0; i < messages; ++i) {
     asio::error_code error;
     asio::write(socket,
-                asio::buffer(request_of("h" + std::to_string(i), false, i % kPartners, 2000, "3600000")),
+                asio::buffer(message_text("h" + std::to_string(i), false, i % kPartners, 2000, "3600000")),
                 error);
     char piece[4096];
     while (!error && !reader.done()) reader.feed({piece, socket.read_some(asio::buffer(piece), error)});
