Take a connection that found no place for no refused call; keep none idle of its kind

Its few places stood idle for 15 s in the pools of relays that call each host every few seconds; every other relay took the refusal for one of the call, cut its window and pace and took turns. Ruled out: a limit on calls (its refusals come on connections that stay and carry a report, 41 on kept ones), an outage (refused connects came only after the release). At fault: take_in's case full, which knew a limit on connections only where others of the same relay were out, and scarce(), which kept idle what fifteen seconds of all calls would use.

Now the network code tells such an answer from a refused call, and the module keeps no mostly idle connection to hosts of that kind for a minute.

--- a/include/starlinghook/delivery.hpp
+++ b/include/starlinghook/delivery.hpp
@@ -127,7 +127,8 @@
   bool no_slot = false;   // not_sent: every slot was taken
   LoadReport report;
   // What the caller's connection showed.
-  bool connection_only = false;  // a failure that tells of its connection alone: that was up and broke
+  // A failure that tells of its connection alone: that was up and broke; full: it found no place.
+  bool connection_only = false;
   Time idle{-1};                 // of the connection before the call; 0 = a new one, less = not told
 };
 struct ProbeEnded {
--- a/src/delivery_memory.hpp
+++ b/src/delivery_memory.hpp
@@ -18,7 +18,7 @@
 namespace starlinghook {
 
 // Raised with each change of what is listed below: another version's bytes are not read.
-constexpr std::uint32_t kMemoryVersion = 2;
+constexpr std::uint32_t kMemoryVersion = 3;
 
 template <class A>
 void serialize(A& a, EndpointEntry& e) {
--- a/src/delivery_policy.cpp
+++ b/src/delivery_policy.cpp
@@ -1,9 +1,6 @@
 // Every decision of starlinghook. The types, events and actions are in include/starlinghook/delivery.hpp.
 //
-// The ordinary path: a refused or failed delivery is tried again after the wait that the destination told, or
-// else after multiplier x attempts made, until the attempt limit or until the time left cannot fit wait plus
-// call. A window of calls in flight for each destination starts at one, grows by one a success and halves on
-// a refusal or time-out. All that goes beyond this is marked where it stands and listed in docs/design.md.
+// The ordinary path is told in docs/design.md; all that goes beyond it is marked where it stands.
 #include <algorithm>
 #include <array>
 #include <bit>
@@ -50,6 +47,7 @@
 constexpr double kCrowdRate = 0.5;  // many share a limit when their even part is under so many calls a second
 constexpr double kFullLoad = 0.8;   // all traffic is taken to be this share of all listed rates
 constexpr int kIdlePart = 4;        // connections are kept for this part of the idle time that failed
+constexpr double kMostlyIdle = 0.5;            // a connection that is in use for less of the time
 constexpr Time kShortIdle = milliseconds(25);  // idle times are told apart from here on, by twos
 constexpr double kRiskStep = 0.02;  // weight of the newest call in the share lost with their connection
 constexpr double kRiskSeen = 3;     // so many lost calls tell a risk
@@ -387,14 +385,14 @@
         route.pace_share = std::min(1.0, route.pace_share);
         break;
       case Outcome::full:
-        // Guards against an endpoint's limit on connections being taken for one on calls: a new connection is
-        // refused while others of this forwarder work.
-        if (e.idle == Time(0) && e.told_wait == Time(0) && endpoint.out.size() > 1) {
+        // Guards against an endpoint's limit on connections being taken for one on calls: it says so, or a
+        // new connection is refused while others of this forwarder work.
+        if (e.connection_only || (e.idle == Time(0) && e.told_wait == Time(0) && endpoint.out.size() > 1)) {
           endpoint.most_out = static_cast<double>(endpoint.out.size()) - 1;
           endpoint.crowded_at = now_;
+          if (e.connection_only) find_scarce(endpoint, true);
           break;
         }
-        // Waits only grow: a later answer never shortens one.
         destinations_.at(endpoint.entry.destination).look_at = kLongAgo;
         if (e.told_wait > Time(0)) route.wait_until = std::max(route.wait_until, now_ + e.told_wait);
         note_refusal(endpoint.health, e.told_wait, route.rate);
@@ -429,8 +427,9 @@
     const std::size_t twos = std::bit_width(static_cast<std::uint64_t>(e.idle / kShortIdle));
     Risk& risk = e.idle == Time(0) ? new_risk_ : kept_risk_[std::min(twos, kept_risk_.size() - 1)];
     risk.calls += 1 - kRiskStep * risk.calls;
-    risk.lost += (e.connection_only ? 1 : 0) - kRiskStep * risk.lost;
-    if (e.connection_only) risk_seen_ = now_;
+    const bool lost = e.connection_only && e.outcome != Outcome::full;
+    risk.lost += (lost ? 1 : 0) - kRiskStep * risk.lost;
+    if (lost) risk_seen_ = now_;
   }
   Time most_idle() {
     if (risk_seen_ + s_.connection_idle * kIdlePart < now_) kept_risk_ = {};  // looked at anew after a while
@@ -489,7 +488,6 @@
     h.earned = h.sick ? h.earned + 1 : 0;
   }
 
-  // Guards against sending every new message into an outage: refused connections, errors, silence.
   void note_failure(Health& h, Outcome outcome, double rate) {
     const bool doubtful = outcome != Outcome::connect_failed;
     h.earned = 0;
@@ -564,12 +562,12 @@
       const double log_took = std::log(std::max(1e-3, took));  // the slow ones weigh little in its mean
       usual_answer_ += (usual_answer_ < kNoLimit ? kLatencyStep : 1) * (log_took - usual_answer_);
     }
-    if (answered(outcome)) {
+    if (answered(outcome) && !connection_only) {
       endpoint.last_used = now_;
     } else if (endpoint.connections > 0) {
       --endpoint.connections;
     }
-    if (outcome == Outcome::connect_failed && !connection_only) find_scarce(endpoint);
+    if (outcome == Outcome::connect_failed && !connection_only) find_scarce(endpoint, false);
     if (scarce(endpoint)) close_idle(endpoint);
     calls_.erase(id);
   }
@@ -618,7 +616,6 @@
   }
 
   bool unwell(const Endpoint& e) const { return failing(e.health) || failing(e.route->health) || stalled(e); }
-  // Also a destination that answers, but far slower than others: left alone, a few such take all slots.
   bool pins_slots(const Endpoint& e) const {
     return unwell(e) || e.route->answer_mean > kSlowTimes * std::exp(usual_answer_);
   }
@@ -772,24 +769,26 @@
   std::size_t connections_for(std::size_t calls) const {
     return (calls + s_.calls_per_connection - 1) / s_.calls_per_connection;
   }
-  // Guards against idle connections of many forwarders filling the few that endpoints of a kind take: a
-  // connect that failed there tells it, and for a while none of that kind is kept idle, where this
-  // forwarder's calls are so few for so many endpoints that it would seldom be used again in time. A crash
-  // looks alike; what it costs then is new connections.
+  // Guards against idle connections of many forwarders filling the few that endpoints of a kind take. One
+  // that found no place surely tells it: for a while none is kept that would be idle mostly. A connect that
+  // failed may, or tell of a crash: none is kept that would seldom be used again in time.
   bool scarce(const Endpoint& e) const {
+    const auto it = scarce_until_.find(e.entry.kind);
+    if (it == scarce_until_.end()) return false;
+    if (now_ < it->second.second)
+      return own_rate(*e.route, kMultiplierMost) * expected_answer(*e.route) < kMostlyIdle;
     const double used = seconds(s_.connection_idle) * arrivals_ / (seconds(now_ - start_) + 1);
-    if (used >= static_cast<double>(endpoints_.size())) return false;
-    auto it = scarce_until_.find(e.entry.kind);
-    return it != scarce_until_.end() && now_ < it->second;
+    return used < static_cast<double>(endpoints_.size()) && now_ < it->second.first;
   }
   void close_idle(Endpoint& e) {
     if (e.connections <= connections_for(e.out.size())) return;
     act(CloseIdle{e.entry.endpoint});
     e.connections = connections_for(e.out.size());
   }
-  void find_scarce(const Endpoint& failed) {
+  void find_scarce(const Endpoint& failed, bool sure) {
     const bool known = scarce(failed);
-    scarce_until_[failed.entry.kind] = now_ + s_.connection_idle * kIdlePart;
+    auto& [maybe, surely] = scarce_until_[failed.entry.kind];
+    (sure ? surely : maybe) = now_ + s_.connection_idle * kIdlePart;
     if (known || !scarce(failed)) return;
     for (auto& [id, e] : endpoints_) {
       if (e.entry.kind == failed.entry.kind) close_idle(e);
@@ -1050,8 +1049,9 @@
   std::array<Risk, 11> kept_risk_;  // by how long the connection had stood idle
   Risk new_risk_;
   Time risk_seen_ = kLongAgo;
-  std::map<std::uint32_t, Time> scarce_until_;  // by kind: connections are not kept idle
-  double lost_share_ = 0;                       // of overdue calls, as it was at that time
+  // By kind, until when connections are not kept idle: one may have found no place, or one surely has.
+  std::map<std::uint32_t, std::pair<Time, Time>> scarce_until_;
+  double lost_share_ = 0;  // of overdue calls, as it was at that time
   Time lost_at_{};
   double usual_answer_ = kNoLimit;  // mean of the logarithm of answer times, in seconds
   double arrivals_ = 0;             // messages in this life
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -363,6 +363,10 @@
     CallEnded ended{call_.stream, call_.attempt, m.outcome, m.over, m.told_wait, m.no_slot, {}, false, idle_};
     if (const auto text = answer_.header("x-load-report"))
       ended.report = load_report(*text, pool_.config_.boot);
+    // Guards against a host's limit on connections being taken for one on calls: it closes at once what it
+    // has no place for, and nobody's load is in that answer.
+    ended.connection_only =
+        m.outcome == Outcome::full && !answer_.keep_alive() && idle_ == Time(0) && !ended.report.present;
     if (keep) {
       release();
       pool_.park(shared_from_this());
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1139,6 +1139,31 @@
   EXPECT_EQ(b.sends_of(106), 2u) << "the refused one does not wait as after a refusal";
 }
 
+// One of many, each with a few calls: where a connection found no place, others' idle ones hold them. Its own
+// makes way after each call from then on, at all endpoints of that kind; neither pace, window nor health bear
+// it.
+TEST(ConnectionLimit, NoIdleOneIsKeptOfAKindThatHadNoPlace) {
+  Settings s = settings();
+  s.forwarders = 100;
+  s.slots = 6;
+  Bench b(s, {{1, 7, 0, 2, 300, Condition::ready},
+              {2, 8, 0, 2, 300, Condition::ready},
+              {3, 9, 0, 0, 300, Condition::ready}});
+  for (const DestinationId d : {7u, 8u, 9u}) warm_up(b, 10 * d, 6, d);
+  EXPECT_TRUE(b.closed.empty());
+  b.message(100);
+  b.give(AttemptEnded{100, 0, 1, Outcome::full, false, Time(0), false, {}, true, Time(0)});
+  EXPECT_EQ(b.closed, (std::vector<EndpointId>{2})) << "the other of its kind";
+  EXPECT_TRUE(b.logged.empty());
+  b.advance(milliseconds(900));
+  EXPECT_EQ(b.sends_of(100), 2u) << "tried again soon";
+  b.outcome(100, Outcome::delivered);
+  EXPECT_EQ(b.closed, (std::vector<EndpointId>{2, 1})) << "not kept";
+  b.message(101, seconds(30), 0, 0, 9);
+  b.outcome(101, Outcome::delivered);
+  EXPECT_EQ(b.closed.size(), 2u) << "another kind";
+}
+
 // A message that is over before its call, or a call held back, uses nothing of the destination's limit up:
 // the next one goes at once, where the pace would have had it wait.
 TEST(Pace, ACallThatWasNotSentGivesItsPartBack) {
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -437,6 +437,24 @@
   EXPECT_EQ(relay.logged("failing"), 0u) << relay.log();
 }
 
+// A host that has no place for a connection refuses and closes it at once: that is no refusal of the call,
+// which goes out again soon, and the connection that then comes up is not kept idle.
+TEST(Relay, GivesItsPlaceBackWhereTheHostHadNone) {
+  std::atomic<int> asked = 0;
+  Server host([&](const Request&) {
+    return ++asked <= 2 ? answer("503 Service Unavailable", "", "Connection: close\r\n") : answer("200 OK");
+  });
+  Platform platform({{"s-1", host.address()}});
+  Program relay(platform.address());
+  relay.start();
+  EXPECT_EQ(relay.ask(request_text("m1")), 202u);
+  ASSERT_TRUE(happens([&] { return relay.counter("delivered") == 1; })) << relay.log();
+  EXPECT_EQ(relay.ask(request_text("m2")), 202u);
+  ASSERT_TRUE(happens([&] { return relay.counter("delivered") == 2; })) << relay.log();
+  EXPECT_EQ(relay.counter("connects"), 4u) << "none was kept";
+  EXPECT_EQ(relay.logged("failing"), 0u) << relay.log();
+}
+
 TEST(CommandLine, RefusesABadConfigurationWithOneLineAndCodeTwo) {
   const std::string program = FENNELLANE_PROGRAM;
   FILE* pipe = ::popen((program + " serve --config /nonexistent --state /tmp 2>&1").c_str(), "r");
