Hear a lowered limit from x1, and give each of many its even part by x0

After the limits rose, deliveries took 15 s to come back, 3,600 messages held: each delivery gave a relay 0.08% of the listed rate back. Ruled out: connections (no new ones refused there), outages (none logged there). At fault: take_in, which read x1 only where the list names no rate and never x0; slow_down, which left turns to destinations under half a call a second a relay, and speed regained by a fixed step a relay.

Now a reported limit clearly under the listed one is the limit; where ten relays or more share one, each starts with four even parts, goes back to its even part at a refusal, and grows or shrinks with the reported room; it comes back at a random moment. To make room, the guess at connections dropped unseen is gone: the relay sees those itself. Turns stay for tiny rates.

--- a/src/delivery_memory.hpp
+++ b/src/delivery_memory.hpp
@@ -40,8 +40,8 @@
 template <class A>
 void serialize(A& a, Route& r) {
   a(r.rate, r.listed, r.arrivals, r.health, r.in_flight, r.window, r.last_cut, r.last_slowed, r.wait_until,
-    r.pace_share, r.burst_seconds, r.tokens, r.tokens_at, r.refused_at, r.turn, r.spread, r.doubted_idle,
-    r.doubted_at, r.answer_mean, r.answer_spread);
+    r.told, r.pace_share, r.burst_seconds, r.tokens, r.tokens_at, r.refused_at, r.turn, r.spread,
+    r.answer_mean, r.answer_spread);
 }
 template <class A>
 void serialize(A& a, Endpoint& e) {  // but for its route
@@ -54,7 +54,7 @@
 }
 template <class A>
 void serialize(A& a, Call& c) {
-  a(c.endpoint, c.sent_at, c.members, c.outstanding, c.unsafe, c.idle, c.cancelled);
+  a(c.endpoint, c.sent_at, c.members, c.outstanding, c.unsafe, c.cancelled);
 }
 template <class A>
 void serialize(A& a, Risk& r) {
@@ -82,9 +82,9 @@
     for (const Message* m : d.waiting) waiting[id].push_back(m->facts.id);
   }
   a(random_text, now_, start_, routes_, endpoints_, destinations_, busy_, messages_, calls_, keys_, gone_,
-    quiet_, last_call_, safe_idle_, idle_failed_, kept_risk_, new_risk_, risk_seen_, scarce_until_,
-    lost_share_, lost_at_, usual_answer_, arrivals_, listed_rate_, log_lines_, list_failures_, next_ask_,
-    due_, timer_at_, stop_at_, waiting);
+    quiet_, last_call_, kept_risk_, new_risk_, risk_seen_, scarce_until_, lost_share_, lost_at_,
+    usual_answer_, arrivals_, listed_rate_, log_lines_, list_failures_, next_ask_, due_, timer_at_, stop_at_,
+    waiting);
   if constexpr (loading) {
     std::istringstream(random_text) >> random_;
     for (auto& [id, endpoint] : endpoints_) {
--- a/src/delivery_policy.cpp
+++ b/src/delivery_policy.cpp
@@ -12,6 +12,7 @@
 #include <random>
 #include <set>
 #include <tuple>
+#include <utility>
 
 #include "starlinghook/delivery.hpp"
 
@@ -39,12 +40,20 @@
 constexpr double kPaceCut = 0.75;  // part of the pace kept after a refusal above the limit
 constexpr double kPaceGrowth = 0.02;       // pace regained by each delivery, as a share of the listed rate
 constexpr double kPaceGrowthOfAll = 0.08;  // and at most, by a delivery at each of the forwarders together
+constexpr std::uint32_t kMany = 10;        // so many forwarders see too little each to find their parts
+constexpr double kAmple = 4;               // even parts that one of many may take before it is told of less
+constexpr double kManyLeast = 8;           // part of the even part kept where all is refused
+constexpr double kRoomLeft = 0.3;          // share of an allowance above which more is asked for
+constexpr double kNoneLeft = 0.1;          // and under which less is
+constexpr double kPaceMore = 0.1;          // by so much, each answer
+constexpr double kPaceBack = 0.4;          // the same under the even part
+constexpr double kOtherLimit = 0.25;       // a limit that differs by more is another one
 constexpr double kBatchBurst = 2;          // longer bursts where a call may carry several messages
 constexpr double kBurstSeconds = 0.5;      // calls that may leave at once, in seconds of the pace
 constexpr double kRoughRate = 1.5;         // a rough rate may be this many times too high
 constexpr double kRoomReserve = 0.1;       // share of the holding room kept free for what comes next
 constexpr double kLargestPart = 0.66;      // of a cold destination's budget that one forwarder earns at most
-constexpr double kCrowdRate = 0.5;  // many share a limit when their even part is under so many calls a second
+constexpr double kCrowdRate = 0.1;  // many share a limit when their even part is under so many calls a second
 constexpr double kFullLoad = 0.8;   // all traffic is taken to be this share of all listed rates
 constexpr int kIdlePart = 4;        // connections are kept for this part of the idle time that failed
 constexpr double kMostlyIdle = 0.5;            // a connection that is in use for less of the time
@@ -98,16 +107,15 @@
   Time last_cut = kLongAgo;
   Time last_slowed = kLongAgo;
   Time wait_until = kLongAgo;  // told by the destination
-  double pace_share = 1;       // of the listed rate
+  double told = 0;             // limit that answers report where the list names a rate
+  double pace_share = 1;       // of the limit
   double burst_seconds = kBurstSeconds;
   double tokens = 1;
   Time tokens_at = kLongAgo;
   Time refused_at = kLongAgo;  // the newest refusal, where many share the limit
   Time turn = kLongAgo;        // this forwarder's next call after it
   Time spread{};               // between its turns
-  Time doubted_idle{};         // of a connection on which a call was lost
-  Time doubted_at = kNever;
-  double answer_mean = 0;  // seconds; 0 until the first answer
+  double answer_mean = 0;      // seconds; 0 until the first answer
   double answer_spread = 0;
 };
 
@@ -144,7 +152,6 @@
   std::size_t members = 0;      // messages in it
   std::size_t outstanding = 0;  // of these without an outcome
   bool unsafe = false;          // carries a message that cannot be repeated
-  Time idle{};                  // of its connection before it; 0 = a new one
   bool cancelled = false;
 };
 
@@ -248,24 +255,8 @@
     Message& m = it->second;
     Endpoint& endpoint = endpoints_.at(e.endpoint);
     auto call = calls_.find(m.call);
-    // Guards against idle connections dropped unseen: a call lost on one that was idle for long, while a new
-    // one then works, is no outage. New ones are opened for a while past a part of that idle time, at their
-    // price.
-    if ((e.outcome == Outcome::timeout || e.outcome == Outcome::reset) &&
-        call->second.idle > base_multiplier() && crowded(*endpoint.route)) {
-      endpoint.route->doubted_idle = call->second.idle;
-      endpoint.route->doubted_at = now_;
-    } else {
-      learn(endpoint, e, m.sent_at);
-    }
+    learn(endpoint, e, m.sent_at);
     learn_risk(e);
-    if (e.outcome == Outcome::delivered && m.sent_at >= endpoint.route->doubted_at) {
-      if (now_ < endpoint.route->doubted_at + s_.overload_time) {
-        safe_idle_ = std::min(safe_idle(), endpoint.route->doubted_idle / kIdlePart);
-        idle_failed_ = now_;
-      }
-      endpoint.route->doubted_at = kNever;
-    }
     if (--call->second.outstanding == 0) close_call(call->first, e.outcome, e.connection_only);
     m.call = 0;
     bool doubtful = e.outcome == Outcome::error || e.outcome == Outcome::timeout ||
@@ -316,7 +307,8 @@
       if (entry.rate > 0) {
         listed_rate_ += entry.rate - endpoint.route->rate;
         endpoint.route->rate = entry.rate;  // a removal need not repeat it
-        endpoint.route->listed = true;
+        if (!std::exchange(endpoint.route->listed, true) && many(*endpoint.route))
+          endpoint.route->pace_share = std::min(1.0, even() * kAmple);
       }
       destinations_[entry.destination].endpoints.insert(entry.endpoint);
       destinations_[entry.destination].look_at = kLongAgo;
@@ -372,17 +364,13 @@
 
   void take_in(Endpoint& endpoint, const AttemptEnded& e, Time sent_at) {
     Route& route = *endpoint.route;
-    // Where the list is silent, the limit that answers report stands for it; it is a little noisy.
-    if (e.report.present && e.report.limit > 0 && !route.listed) {
-      route.rate += (route.rate > 0 ? kLatencyStep : 1) * (e.report.limit - route.rate);
-    }
+    if (e.report.present && e.report.limit > 0) hear_limit(route, e.report.limit);
     switch (e.outcome) {
       case Outcome::delivered:
         note_success(endpoint.health);
         note_success(route.health);
         route.window = std::min(route.window + 1, static_cast<double>(share_of(s_.slots, kWindowShare)));
-        route.pace_share += std::min(kPaceGrowth, kPaceGrowthOfAll / s_.forwarders);
-        route.pace_share = std::min(1.0, route.pace_share);
+        speed_up(route, e.report);
         break;
       case Outcome::full:
         // Guards against an endpoint's limit on connections being taken for one on calls: it says so, or a
@@ -525,22 +513,41 @@
     route.last_cut = now_;
     route.window = std::max(1.0, std::floor(route.window / 2));
   }
-  // A refusal slows the pace from what this forwarder asks for, or twice its even part, if that is less than
-  // the pace so far: one of hundreds never reaches a pace that starts at the whole rate. After a told wait,
-  // which ends for all at once, the first call waits a random part of the pace's own gap.
+  // A refusal slows the pace from what this forwarder asks for, or twice its even part (where there are many,
+  // that part), if that is less. The next call waits a random time: told waits end for all at once.
   void slow_down(Route& route, Time sent_at) {
-    route.tokens = std::min(route.tokens, 0.0);
-    if (route.wait_until > now_) {
-      route.tokens = -draw();
-      route.tokens_at = route.wait_until;
-    }
+    const bool told = route.wait_until > now_;
+    route.tokens = std::min(route.tokens, (many(route) ? 0.5 : 0) - (many(route) || told ? draw() : 0));
+    if (told) route.tokens_at = route.wait_until;
     if (sent_at < route.last_slowed || route.rate <= 0 || crowded(route)) return;
     route.last_slowed = now_;
-    const double even = 1 / static_cast<double>(s_.forwarders);
-    const double share =
-        std::min(route.pace_share, std::max(own_rate(route, std::chrono::seconds(1)) / route.rate, even * 2));
-    route.pace_share = std::max(even / 2, share * kPaceCut);
+    const double asked = own_rate(route, std::chrono::seconds(1)) / route.rate;
+    const double most = many(route) ? even() : std::max(asked, even() * 2);
+    const double least = many(route) ? kManyLeast : 2;
+    route.pace_share = std::max(even() / least, std::min(route.pace_share, most) * kPaceCut);
+  }
+  // Where many share a limit, the answers tell whether it has room left. Without it none goes beyond its even
+  // part, and with it each comes back to that part within a few calls.
+  void speed_up(Route& r, const LoadReport& report) {
+    double step = std::min(kPaceGrowth, kPaceGrowthOfAll / s_.forwarders);
+    if (many(r)) {
+      const bool room = !report.present || report.allowance_left > kRoomLeft;
+      const bool none = report.present && report.allowance_left < kNoneLeft && r.pace_share > even();
+      step = r.pace_share * (r.pace_share < even() ? kPaceBack : room ? kPaceMore : none ? -kPaceMore : 0);
+    }
+    r.pace_share = std::min(1.0, r.pace_share + step);
+  }
+  // Where the list is silent, the limit that answers report stands for it, and where one is clearly lower.
+  void hear_limit(Route& r, double limit) {
+    double& known = r.listed ? r.told : r.rate;
+    const bool other = known <= 0 || (r.listed && std::abs(limit - known) > kOtherLimit * known);
+    known += (other ? 1 : kLatencyStep) * (limit - known);
   }
+  double limit(const Route& r) const {
+    return r.listed && r.told > 0 && r.told < r.rate * (1 - kOtherLimit) ? r.told : r.rate;
+  }
+  bool many(const Route& r) const { return s_.forwarders >= kMany && !crowded(r); }
+  double even() const { return 1 / static_cast<double>(s_.forwarders); }
 
   void close_call(std::size_t id, Outcome outcome, bool connection_only) {
     Call call = calls_.at(id);
@@ -601,10 +608,10 @@
     return std::max(base_multiplier(), from_seconds(r.answer_mean + kStallSpreads * r.answer_spread));
   }
   // A repeatable call is given up well after its answer is late; one that may not be repeated never is.
-  Time attempt_timeout(const Route& r, const Message& m, Time idle) const {
+  Time attempt_timeout(const Route& r, const Message& m) const {
     if (m.rules->effect == Effect::unsafe) return m.deadline - now_;
-    Time patience = std::max(from_seconds(seconds(stall_time(r)) * kTimeoutStalls), s_.connect_timeout * 2);
-    if (idle > base_multiplier() && crowded(r)) patience = std::max(stall_time(r), s_.connect_timeout);
+    const Time patience =
+        std::max(from_seconds(seconds(stall_time(r)) * kTimeoutStalls), s_.connect_timeout * 2);
     return std::min(m.deadline - now_, patience);
   }
 
@@ -731,7 +738,7 @@
     return calls_.end();
   }
 
-  double pace(const Route& r) const { return r.rate * r.pace_share; }
+  double pace(const Route& r) const { return limit(r) * r.pace_share; }
   Time next_token(Route& r) {
     if (r.rate <= 0) return now_;
     if (r.tokens_at > now_) return r.tokens_at;
@@ -794,9 +801,6 @@
       if (e.entry.kind == failed.entry.kind) close_idle(e);
     }
   }
-  Time safe_idle() const {
-    return now_ < idle_failed_ + s_.connection_idle * kIdlePart ? safe_idle_ : kNever;
-  }
 
   void dispatch() {
     make_room();
@@ -879,8 +883,6 @@
     auto call = open_call(e);
     if (call == calls_.end()) {
       call = calls_.emplace(++last_call_, Call{e.entry.endpoint, now_, 0, 0}).first;
-      if (warm(e) && now_ - e.last_used > safe_idle()) close_idle(e);
-      if (warm(e)) call->second.idle = now_ - e.last_used;
       if (!warm(e)) e.connections = connections_for(e.out.size() + 1);
       e.out.insert(now_);
       ++r.in_flight;
@@ -897,7 +899,7 @@
     m.call = call->first;
     m.sent_at = now_;
     ++m.attempts;
-    act(Send{m.facts.id, e.entry.endpoint, attempt_timeout(r, m, call->second.idle), most_idle()});
+    act(Send{m.facts.id, e.entry.endpoint, attempt_timeout(r, m), most_idle()});
   }
 
   // A waiting message that no endpoint can take in the time left gets its answer at once.
@@ -1044,8 +1046,6 @@
   std::set<EndpointId> gone_;                         // not forgotten yet
   std::deque<std::pair<Time, std::uint64_t>> quiet_;  // keys without a message, by when they may be forgotten
   std::size_t last_call_ = 0;
-  Time safe_idle_ = kNever;  // connections idle for longer are not used
-  Time idle_failed_ = kLongAgo;
   std::array<Risk, 11> kept_risk_;  // by how long the connection had stood idle
   Risk new_risk_;
   Time risk_seen_ = kLongAgo;
