Spread and space tries at discovery, and begin its watch at the list that is known

Seen on herd+vast in the logs of all 100 relays: of 2,600 requests to discovery nearly all were answered 503, 1,387 of the whole list, 1,194 of the watch, half of them after two seconds in its queue; three relays got a change in 35 s. From the release on 200 connects a second went to endpoints that were gone, and 45 messages a second were delivered of 500. Each relay tried again a second after each failure, all in step: together they asked for several times what discovery can do, so that what it worked on had mostly given up by then. After the kill every relay asked for the whole list, though it had one. Ruled out: endpoints that came late (the list named them, who had it used them at once) and connections (refused there only where gone). At fault: Discovery::run, backoff 50 ms to 1 s without a random part; fetch before each first watch.

Now pauses begin at 0.5 s, double up to 8 s, each a random half to one and a half of it (RetryPause, also for notices), and a start with a whole known list begins with the watch.

--- a/src/core/limits.hpp
+++ b/src/core/limits.hpp
@@ -60,6 +60,10 @@
   Time discovery_silence = std::chrono::milliseconds(4500);
   Time backoff_least = std::chrono::milliseconds(50);
   Time backoff_most = std::chrono::seconds(1);
+  // Between tries at discovery. Guards it, where it is short of room, against many relays asking it so often
+  // that it answers none.
+  Time discovery_backoff_least = std::chrono::milliseconds(500);
+  Time discovery_backoff_most = std::chrono::seconds(8);
   Time lock_wait = std::chrono::seconds(2);  // for a process before this one to let go of the state folder
   Time loop_look = std::chrono::milliseconds(50);  // at how late the loop runs
   Time loop_beat = std::chrono::seconds(1);        // and how often that is noted
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -18,7 +18,8 @@
       on_list_(std::move(on_list)),
       address_(address),
       client_(io, address_, config.limits, config.limits.discovery_line),
-      pause_(io) {}
+      pause_(io),
+      retry_(config.limits.discovery_backoff_least, config.limits.discovery_backoff_most, config.seed) {}
 
 void Discovery::start() {
   asio::co_spawn(
@@ -31,6 +32,11 @@
   pause_.cancel();
 }
 
+void Discovery::know(std::uint64_t version) {
+  version_ = version;
+  have_list_ = true;
+}
+
 void Discovery::redirect(const Address& address) {
   address_ = address;
   version_ = 0;
@@ -113,7 +119,6 @@
 
 asio::awaitable<void> Discovery::run() {
   const Limits& limits = config_.limits;
-  Time backoff = limits.backoff_least;
   while (!stopped_) {
     ++counters_.discovery_connects;
     redirected_ = false;
@@ -126,10 +131,9 @@
     client_.close();
     if (stopped_) break;
     // Guards against a new address waiting out the pause that its predecessor's outage had earned.
-    if (redirected_) good = true;
-    backoff = good ? limits.backoff_least : std::min(backoff * 2, limits.backoff_most);
+    if (redirected_ || good) retry_.reset();
     if (redirected_) continue;
-    pause_.expires_after(backoff);
+    pause_.expires_after(retry_.next());
     asio::error_code cut_short;
     co_await pause_.async_wait(asio::redirect_error(asio::use_awaitable, cut_short));
   }
--- a/src/platform/discovery.hpp
+++ b/src/platform/discovery.hpp
@@ -11,6 +11,7 @@
 #include "config.hpp"
 #include "counters.hpp"
 #include "log.hpp"
+#include "retry_pause.hpp"
 
 namespace fennellane {
 
@@ -20,6 +21,9 @@
             OnList on_list);
   void start() override;
   void stop() override;
+  // This relay has the whole list of that version, from an earlier life: the watch begins there, and the list
+  // is not asked for. Before `start`.
+  void know(std::uint64_t version);
   // Discovery is at another address now: its versions are of its own, so the whole list is fetched anew. The
   // list that is held stands until then.
   void redirect(const Address& address);
@@ -42,6 +46,7 @@
   Address address_;
   Client client_;
   asio::steady_timer pause_;  // between two connections
+  RetryPause retry_;
   std::uint64_t version_ = 0;
   bool have_list_ = false;
   bool stopped_ = false;
--- a/src/platform/notices.cpp
+++ b/src/platform/notices.cpp
@@ -30,7 +30,8 @@
       address_(config.discovery),
       client_(io, address_, config.limits, config.limits.body),
       wake_(io),
-      pause_(io) {}
+      pause_(io),
+      retry_(config.limits.backoff_least, config.limits.backoff_most, config.seed) {}
 
 void Notices::start() { asio::co_spawn(io_, run(), rethrow); }
 
@@ -74,7 +75,6 @@
 
 asio::awaitable<void> Notices::run() {
   const Limits& limits = config_.limits;
-  Time backoff = limits.backoff_least;
   std::size_t most = SIZE_MAX;
   while (true) {
     asio::error_code woken;
@@ -93,7 +93,7 @@
     const unsigned status = co_await deliver(count);
     if (status == 204) {
       most = SIZE_MAX;
-      backoff = limits.backoff_least;
+      retry_.reset();
     } else if (status == 400 && count == 1) {
       // Guards against one line that is never taken holding up all that follow.
       log_("notices", "the platform cannot read " + lines_.front().text);
@@ -102,11 +102,11 @@
       if (status == 400) most = 1;
       client_.close();
       if (!redirected_) {
-        pause_.expires_after(backoff);
+        pause_.expires_after(retry_.next());
         asio::error_code cut_short;
         co_await pause_.async_wait(asio::redirect_error(asio::use_awaitable, cut_short));
       }
-      backoff = redirected_ ? limits.backoff_least : std::min(backoff * 2, limits.backoff_most);
+      if (redirected_) retry_.reset();
       continue;
     }
     for (; count > 0; --count) {
--- a/src/platform/notices.hpp
+++ b/src/platform/notices.hpp
@@ -10,6 +10,7 @@
 #include "client.hpp"
 #include "log.hpp"
 #include "reducer.hpp"
+#include "retry_pause.hpp"
 
 namespace fennellane {
 
@@ -45,6 +46,7 @@
   Client client_;
   asio::steady_timer wake_;   // something is owed
   asio::steady_timer pause_;  // after a try that failed
+  RetryPause retry_;
   std::deque<Line> lines_;
   bool redirected_ = false;  // since the newest try began
 };
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -170,6 +170,10 @@
       log_("membership", "from the platform, at " + wanted.discovery.text());
       discovery_ = std::make_shared<Discovery>(io_, config_, wanted.discovery, counters_, log_, on_list);
       inherit(*discovery_);
+      if (!old_discovery && !before && inherited_watch_.empty() && config_.known.whole &&
+          !config_.known.hosts.empty()) {
+        discovery_->know(config_.known.version);
+      }
       return discovery_->start();
     case MembershipSource::list:
       log_("membership", "from the settings, " + std::to_string(wanted.known.hosts.size()) + " hosts");
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -3,10 +3,12 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <memory>
 #include <random>
 
 #include "net_fixture.hpp"
+#include "retry_pause.hpp"
 
 namespace fennellane {
 namespace {
@@ -270,6 +272,26 @@
   EXPECT_LE(most, 2 * config.limits.remembered_ids + 64);
 }
 
+// A hundred that failed in one moment: their next tries are spread, and grow apart until there is room for
+// all.
+TEST(RetryPause, SpreadsThoseWhoFailedTogether) {
+  std::map<Time::rep, int> per_second;
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    RetryPause pause(std::chrono::milliseconds(500), std::chrono::seconds(8), seed);
+    Time at{};
+    while (at < std::chrono::seconds(60)) {
+      const Time next = pause.next();
+      ASSERT_GE(next, std::chrono::milliseconds(250));
+      ASSERT_LE(next, std::chrono::seconds(12));
+      at += next;
+      ++per_second[at / std::chrono::seconds(1)];
+    }
+    pause.reset();
+    EXPECT_LE(pause.next(), std::chrono::milliseconds(750));
+  }
+  for (Time::rep s = 10; s < 60; ++s) EXPECT_LE(per_second[s], 30) << "in second " << s;
+}
+
 TEST_F(ReducerTest, RetiresTheConnectionsOfAHostThatMovesOrIsGone) {
   list({{"s-1", "127.0.0.1:10"}}, false);
   EXPECT_EQ(count<RetireHost>(), 1u);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -437,6 +437,25 @@
   EXPECT_EQ(relay.logged("failing"), 0u) << relay.log();
 }
 
+// Guards discovery against a whole list for each of many relays that start at once: the watch alone brings
+// what has changed since. Where it is refused the list that is known serves, and tries grow apart.
+TEST(Relay, TakesUpTheWatchWhereTheKnownListStands) {
+  Server host([](const Request&) { return answer("200 OK"); });
+  Server discovery(
+      [](const Request&) { return answer("503 Service Unavailable", "", "Connection: close\r\n"); });
+  ConfigParts parts;
+  parts.known = {{"s-1", host.address()}};
+  Program relay(discovery.address(), parts);
+  relay.start();
+  EXPECT_EQ(relay.ask(request_text("m1")), 202u);
+  EXPECT_TRUE(happens([&] { return host.count("m1") == 1; })) << relay.log();
+  std::this_thread::sleep_for(seconds(3));
+  const std::vector<Request> asked = discovery.requests();
+  ASSERT_FALSE(asked.empty());
+  for (const Request& r : asked) EXPECT_NE(r.target.find("watch=1"), std::string::npos) << r.target;
+  EXPECT_LE(asked.size(), 5u) << "pauses of at least 0.25, 0.5, 1 and 2 s";
+}
+
 // A host that has no place for a connection refuses and closes it at once: that is no refusal of the call,
 // which goes out again soon, and the connection that then comes up is not kept idle.
 TEST(Relay, GivesItsPlaceBackWhereTheHostHadNone) {
