Spread tries at an endpoint that has no places over time

Each relay tried again half a second after each refusal, all alike. At fault: crowded_out, a fixed half second. Now that is a random half to one and a half of it where there are others.

--- a/src/delivery_policy.cpp
+++ b/src/delivery_policy.cpp
@@ -38,21 +38,19 @@
 constexpr double kLostStep = 0.1;  // weight of the newest overdue call in the share of those never answered
 constexpr double kLostKept = 10;   // seconds in which that share halves
 constexpr double kPaceCut = 0.75;  // part of the pace kept after a refusal above the limit
-constexpr double kPaceGrowth = 0.02;       // pace regained by each delivery, as a share of the listed rate
-constexpr double kPaceGrowthOfAll = 0.08;  // and at most, by a delivery at each of the forwarders together
-constexpr std::uint32_t kMany = 10;        // so many forwarders see too little each to find their parts
-constexpr double kAmple = 4;               // even parts that one of many may take before it is told of less
-constexpr double kManyLeast = 8;           // part of the even part kept where all is refused
-constexpr double kRoomLeft = 0.3;          // share of an allowance above which more is asked for
-constexpr double kNoneLeft = 0.1;          // and under which less is
-constexpr double kPaceMore = 0.1;          // by so much, each answer
-constexpr double kPaceBack = 0.4;          // the same under the even part
-constexpr double kOtherLimit = 0.25;       // a limit that differs by more is another one
-constexpr double kBatchBurst = 2;          // longer bursts where a call may carry several messages
-constexpr double kBurstSeconds = 0.5;      // calls that may leave at once, in seconds of the pace
-constexpr double kRoughRate = 1.5;         // a rough rate may be this many times too high
-constexpr double kRoomReserve = 0.1;       // share of the holding room kept free for what comes next
-constexpr double kLargestPart = 0.66;      // of a cold destination's budget that one forwarder earns at most
+constexpr double kPaceGrowth = 0.02, kPaceGrowthOfAll = 0.08;  // by a delivery; by one at each forwarder
+constexpr std::uint32_t kMany = 10;  // so many forwarders see too little each to find their parts
+constexpr double kAmple = 4;         // even parts that one of many may take before it is told of less
+constexpr double kManyLeast = 8;     // part of the even part kept where all is refused
+constexpr double kRoomLeft = 0.3,
+                 kNoneLeft = 0.1;  // of an allowance: more is asked for over the one, less under
+constexpr double kPaceMore = 0.1, kPaceBack = 0.4;  // by so much, each answer, and up to the even part
+constexpr double kOtherLimit = 0.25;                // a limit that differs by more is another one
+constexpr double kBatchBurst = 2;                   // longer bursts where a call may carry several messages
+constexpr double kBurstSeconds = 0.5;               // calls that may leave at once, in seconds of the pace
+constexpr double kRoughRate = 1.5;                  // a rough rate may be this many times too high
+constexpr double kRoomReserve = 0.1;                // share of the holding room kept free for what comes next
+constexpr double kLargestPart = 0.66;  // of a cold destination's budget that one forwarder earns at most
 constexpr double kCrowdRate = 0.1;  // many share a limit when their even part is under so many calls a second
 constexpr double kFullLoad = 0.8;   // all traffic is taken to be this share of all listed rates
 constexpr int kIdlePart = 4;        // connections are kept for this part of the idle time that failed
@@ -127,6 +125,7 @@
   std::size_t connections = 0;
   double most_out = kNoLimit;  // calls that its limit on connections leaves room for
   Time crowded_at = kLongAgo;  // when that was seen last
+  Time crowded_gap = Time(1);  // from then on one more call is tried after each such time
   Time last_used = kLongAgo;
   std::uint64_t lot = 0;  // decides between equals, another order at each forwarder
 };
@@ -378,6 +377,8 @@
         if (e.connection_only || (e.idle == Time(0) && e.told_wait == Time(0) && endpoint.out.size() > 1)) {
           endpoint.most_out = static_cast<double>(endpoint.out.size()) - 1;
           endpoint.crowded_at = now_;
+          endpoint.crowded_gap = s_.overload_time / kCrowdedPart;
+          if (s_.forwarders > 1) endpoint.crowded_gap = some_of(endpoint.crowded_gap);
           if (e.connection_only) find_scarce(endpoint, true);
           break;
         }
@@ -673,7 +674,7 @@
   // No more calls fit on the connections that the endpoint takes. One more is tried now and then: others may
   // have let go.
   bool crowded_out(const Endpoint& e) const {
-    const double more = seconds(now_ - e.crowded_at) / seconds(s_.overload_time / kCrowdedPart);
+    const double more = seconds(now_ - e.crowded_at) / seconds(e.crowded_gap);
     return static_cast<double>(e.out.size()) >= e.most_out + std::floor(more);
   }
 
@@ -965,7 +966,6 @@
     const Time last = last_send(d, m);
     return std::max(now_, m.not_before) >= last ? now_ : last;
   }
-  // The last moment at which a call of the message may still start.
   Time last_send(const Destination& d, const Message& m) const {
     if (m.attempts >= s_.max_attempts) return now_;
     if (m.may_have_run && m.rules->effect == Effect::unsafe) return now_;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1144,6 +1144,23 @@
   EXPECT_EQ(b.closed.size(), 2u) << "another kind";
 }
 
+// Fifty who found no place in one moment come back spread over time, or they would find none again.
+TEST(ConnectionLimit, ThoseWhoFoundNoPlaceDoNotComeBackTogether) {
+  std::map<Time, int> tries;
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    Settings s = settings();
+    s.forwarders = 100;
+    s.seed = seed;
+    Bench b(s, {{1, 7, 0, 0, 300, Condition::ready}});
+    b.message(1);
+    b.give(AttemptEnded{1, 0, 1, Outcome::full, false, Time(0), false, {}, true, Time(0)});
+    b.advance(seconds(3));
+    ASSERT_EQ(b.sends_of(1), 2u);
+    ++tries[b.last_send() / 100'000 * 100'000];
+  }
+  for (const auto& [at, count] : tries) EXPECT_LE(count, 15) << at.count();
+}
+
 // A message that is over before its call, or a call held back, uses nothing of the destination's limit up:
 // the next one goes at once, where the pace would have had it wait.
 TEST(Pace, ACallThatWasNotSentGivesItsPartBack) {
