fennellane fleet: count over the flight records of many relays

What harms a destination is the sum of what many relays do, each of them harmless. Tested with two records that differ in one end.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,9 +9,11 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "command.hpp"
 #include "config.hpp"
+#include "fleet.hpp"
 #include "legend.hpp"
 #include "new_process.hpp"
 #include "relay.hpp"
@@ -161,6 +163,19 @@
   return 1;
 }
 
+int count_fleet(const std::vector<std::string>& files, const std::vector<std::uint32_t>& destinations) {
+  namespace record = fennellane::record;
+  try {
+    record::FleetAccount account;
+    for (const std::string& file : files) account.add(record::read_record(file));
+    record::print_fleet(account, destinations, std::cout);
+    return 0;
+  } catch (const record::RecordError& e) {
+    std::fprintf(stderr, "fennellane: %s\n", e.what());
+    return 1;
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -205,6 +220,14 @@
   why_command->add_option("--most", question.most, "messages listed")->capture_default_str();
   why_command->add_option("--seconds", question.seconds, "seconds shown, the newest")->capture_default_str();
   why_command->add_flag("--raw", question.raw, "every note, a line each");
+  CLI::App* fleet_command = app.add_subcommand(
+      "fleet", "count over the flight records of many relays, second by second and by destination");
+  std::vector<std::string> records;
+  std::vector<std::uint32_t> destinations;
+  fleet_command->add_option("records", records, "the records' files, one of each relay")->required();
+  fleet_command
+      ->add_option("--destination", destinations, "also count this destination's own; may be repeated")
+      ->expected(1);
   CLI::App* version_command = app.add_subcommand("version", "print the version");
   CLI11_PARSE(app, argc, argv);
   try {
@@ -212,6 +235,7 @@
       std::printf("fennellane %s\n", FENNELLANE_VERSION);
       return 0;
     }
+    if (fleet_command->parsed()) return count_fleet(records, destinations);
     if (why_command->parsed()) return why(state, question);
     if (upgrade_command->parsed()) {
       return fennellane::upgrade::ask_for_upgrade(state, std::chrono::seconds(wait_s));
--- a/tests/record_test.cpp
+++ b/tests/record_test.cpp
@@ -13,6 +13,7 @@
 #include <sstream>
 #include <thread>
 
+#include "fleet.hpp"
 #include "recorder.hpp"
 #include "relay_fixture.hpp"
 #include "report.hpp"
@@ -104,6 +105,52 @@
   EXPECT_GT(seen, 0u);
 }
 
+// Two relays, alike but for their ends: what each has few of is many together, and a call that follows a
+// failure of the same relay is counted apart until one succeeds.
+TEST(FleetAccount, AddsUpWhatManyRelaysDid) {
+  const auto note = [](std::int64_t second, Kind kind, std::uint64_t subject, std::uint16_t code,
+                       std::array<std::uint32_t, 3> n) {
+    Entry e;
+    e.at = second * 1'000'000;
+    e.kind = kind;
+    e.subject = subject;
+    e.code = code;
+    e.n = n;
+    return e;
+  };
+  const auto code = [](starlinghook::Outcome o) { return static_cast<std::uint16_t>(o); };
+  using starlinghook::Outcome;
+  FleetAccount fleet;
+  for (const Outcome last : {Outcome::delivered, Outcome::full}) {
+    Contents contents;
+    contents.entries = {
+        note(10, Kind::began, 0, 0, {1}),
+        note(10, Kind::asked, 3, 0, {0, 7, 5000}),
+        note(10, Kind::answered, 3, 202, {static_cast<std::uint32_t>(Door::taken), 10, 1}),
+        note(10, Kind::call, 1, 0, {4, 1000}),
+        note(10, Kind::call_ended, 1, code(Outcome::connect_failed), {0, 0, 0}),
+        note(11, Kind::call, 1, 1, {4, 1000}),
+        note(11, Kind::call_ended, 1, code(last), {1, 0, 0}),
+        note(12, Kind::call, 99, 0, {4, 1000}),  // its message is not in the record
+        note(12, Kind::given_up, 1, 0, {static_cast<std::uint32_t>(starlinghook::Why::time), 0}),
+    };
+    fleet.add(contents);
+  }
+  EXPECT_EQ(fleet.relays(), 2u);
+  const FleetCount first = fleet.seconds().at(10), second = fleet.by_destination().at({7, 11});
+  EXPECT_EQ(first.began, 2u);
+  EXPECT_EQ(first.taken, 2u);
+  EXPECT_EQ(first.first_calls, 2u);
+  EXPECT_EQ(first.unconnected, 2u);
+  EXPECT_EQ(first.rested, 0u);
+  EXPECT_EQ(second.rested, 2u) << "after a failure";
+  EXPECT_EQ(second.delivered, 1u);
+  EXPECT_EQ(second.no_place, 1u);
+  EXPECT_EQ(fleet.seconds().at(12).calls, 2u);
+  EXPECT_EQ(fleet.by_destination().at({7, 12}).calls, 0u);
+  EXPECT_EQ(fleet.by_destination().at({7, 12}).time, 2u);
+}
+
 TEST_F(RecordFileTest, OneOfAnotherSizeIsReplacedAndItsReaderLeftAlone) {
   RecordFile old(path_, size_);
   RecordFile fresh(path_, record_file_size(128 * 1024));
