--- a/src/delivery_policy.cpp
+++ b/src/delivery_policy.cpp
@@ -1,5 +1,4 @@
 // Every decision of starlinghook. The types, events and actions are in include/starlinghook/delivery.hpp.
-//
 // The ordinary path is told in docs/design.md; all that goes beyond it is marked where it stands.
 #include <algorithm>
 #include <array>
@@ -21,7 +20,6 @@
 
 using std::chrono::milliseconds;
 
-// --- Tuned values
 constexpr double kMultiplierOfAim = 0.25;  // multiplier of the linear wait, as a share of the class's aim
 constexpr Time kMultiplierMost = milliseconds(1500);  // and at most the source's own 1.5 s
 constexpr double kWindowShare = 0.75;                 // share of the slots that one destination may hold
@@ -105,7 +103,7 @@
   Time last_cut = kLongAgo;
   Time last_slowed = kLongAgo;
   Time wait_until = kLongAgo;  // told by the destination
-  double told = 0;             // limit that answers report where the list names a rate
+  double told = 0;             // limit that answers report; holds where clearly under a listed rate
   double pace_share = 1;       // of the limit
   double burst_seconds = kBurstSeconds;
   double tokens = 1;
@@ -206,7 +204,6 @@
     if (log_lines_++ < kLogLines) act(LogLine{text});
   }
 
-  // --- Events
   void on(const MessageArrived& e) {
     Message m;
     m.facts = e;
@@ -315,8 +312,7 @@
     list_failures_ = 0;
   }
 
-  // Guards the memory of a long life: an endpoint that is gone is forgotten with its last call, a key with
-  // its last message and its quiet time. A destination's health stays with its route.
+  // Guards the memory of a long life. A destination's health stays with its route.
   void forget() {
     std::erase_if(gone_, [this](EndpointId id) {
       const Endpoint& e = endpoints_.at(id);
@@ -351,7 +347,6 @@
     next_ask_ = kNever;
   }
 
-  // --- What an outcome teaches
   void learn(Endpoint& endpoint, const AttemptEnded& e, Time sent_at) {
     const bool before = failing(endpoint.health), route_before = failing(endpoint.route->health);
     take_in(endpoint, e, sent_at);
@@ -400,7 +395,9 @@
         // the next call opens a new one; a new one that came up is no refused one.
         if (e.connection_only && e.idle > Time(0)) break;
         const Outcome sign = e.connection_only ? Outcome::error : e.outcome;
-        for (Health* h : {&endpoint.health, &route.health}) note_failure(*h, sign, route.rate);
+        note_failure(endpoint.health, sign, route.rate);
+        if (sign != Outcome::connect_failed || !sibling_works(endpoint))
+          note_failure(route.health, sign, route.rate);
         if (sign != Outcome::error) cut(route, sent_at);
         break;
       }
@@ -409,6 +406,15 @@
     }
   }
 
+  // Guards against a whole destination resting for one endpoint that is gone before the list has told it.
+  bool sibling_works(const Endpoint& gone) const {
+    const auto& all = destinations_.at(gone.entry.destination).endpoints;
+    return std::any_of(all.begin(), all.end(), [&](EndpointId id) {
+      const Endpoint& e = endpoints_.at(id);
+      return &e != &gone && e.entry.condition == Condition::ready && !failing(e.health) &&
+             e.health.last_ok > kLongAgo;
+    });
+  }
   // Guards against kept connections that are dropped unseen after a short idle time: from where calls are
   // lost on them clearly more often than on new ones, new ones are opened, for a while.
   void learn_risk(const AttemptEnded& e) {
@@ -430,9 +436,9 @@
     return kNever;
   }
 
-  // Guards against many forwarders striking one limit, or a shut destination, again and again with few calls
-  // each: refused calls may use the limit up. Turns spread with each refusal, to an even part and, when
-  // refused twice, to what a cold destination stands. It could delay messages where one alone had too much.
+  // Guards against very many forwarders striking a small limit, or a shut destination, with few calls each.
+  // Turns spread with each refusal, to an even part and, when refused twice, to what a cold destination
+  // stands.
   bool crowded(const Route& r) const {
     return s_.forwarders > 1 && r.rate < kCrowdRate * s_.forwarders;  // also where no rate is told
   }
@@ -452,9 +458,8 @@
   bool taking_turns(const Route& r) const { return now_ < r.refused_at + r.spread * kTurnGrowth; }
   void take_turns(Route& r) {
     if (!crowded(r)) return;
-    // The destination may be hanging, its queue full: tries again at its return must not outnumber new
-    // messages, nor a refused clump come back as one. So they are spread evenly over the orders of time from
-    // the source's own multiplier to this forwarder's even part of the limit.
+    // Tries again at a return must not outnumber new messages, nor a refused clump come back as one: they are
+    // spread evenly over the orders of time from the source's own multiplier to this forwarder's even part.
     const double least = seconds(taking_turns(r) ? r.spread * kTurnGrowth : kMultiplierMost);
     const int longer = r.health.full_run > 1 ? kTurnGrowth : 1;  // it may be shut, not full
     const double most = seconds(std::max(base_multiplier(), fair_gap(r) * longer));
@@ -483,9 +488,8 @@
     ++h.fail_run;
     h.fail_share += kShareStep * (1 - h.fail_share);
     h.doubt_share += kShareStep * ((doubtful ? 1 : 0) - h.doubt_share);
-    // Where so many share the destination that a call here is rare, and none succeeded lately, one failure is
-    // enough. But one reset alone may be an answer lost on its way while the work is done; a crash resets
-    // many.
+    // Where a call here is rare, and none succeeded lately, one failure is enough. But one reset alone may be
+    // an answer lost on its way while the work is done; a crash resets many.
     const bool rare = rate < s_.forwarders && h.last_ok + s_.overload_time < now_;
     const bool alone = rare && outcome != Outcome::reset;
     const bool outage = h.fail_run >= kSickRun || h.fail_share >= kSickFailShare || alone;
@@ -538,7 +542,6 @@
     }
     r.pace_share = std::min(1.0, r.pace_share + step);
   }
-  // Where the list is silent, the limit that answers report stands for it, and where one is clearly lower.
   void hear_limit(Route& r, double limit) {
     double& known = r.listed ? r.told : r.rate;
     const bool other = known <= 0 || (r.listed && std::abs(limit - known) > kOtherLimit * known);
@@ -671,14 +674,12 @@
     return h.sends.front() + s_.overload_time;
   }
 
-  // No more calls fit on the connections that the endpoint takes. One more is tried now and then: others may
-  // have let go.
+  // No more calls fit on the connections that the endpoint takes. One more is tried now and then.
   bool crowded_out(const Endpoint& e) const {
     const double more = seconds(now_ - e.crowded_at) / seconds(e.crowded_gap);
     return static_cast<double>(e.out.size()) >= e.most_out + std::floor(more);
   }
 
-  // --- The gate
   // Every send passes here. Returns now if it may go, else the time at which to look again, or kNever when
   // only an event can open the way. Without a message: the rules that bind any send.
   Time gate(Endpoint& e, const Message* m) {
@@ -749,7 +750,6 @@
     return r.tokens >= 1 ? now_ : now_ + from_seconds((1 - r.tokens) / pace(r)) + Time(1);
   }
 
-  // --- Choosing
   double worth_at(const Message& m, Time t) const {
     const ClassSettings& c = *m.rules;
     if (t >= m.deadline) return 0;
@@ -903,9 +903,9 @@
     act(Send{m.facts.id, e.entry.endpoint, attempt_timeout(r, m), most_idle()});
   }
 
-  // A waiting message that no endpoint can take in the time left gets its answer at once.
-  // Guards the time that each event costs: while nothing has changed that bears on it, all that wait are
-  // looked through only when it is due for the first of them, and now and then.
+  // A waiting message that no endpoint can take in the time left gets its answer at once. Guards the time
+  // that each event costs: all that wait are looked through only when it is due for one of them, and now and
+  // then.
   void give_up(Destination& d) {
     if (now_ < d.look_at) return wake_at(d.look_at);
     d.look_at = now_ + kLookAgain;
@@ -919,8 +919,8 @@
     for (Message* m : lost) answer(*m, d);
   }
 
-  // Guards against held messages of slow or failing destinations filling the room unseen. Near the limit the
-  // one worth least after waiting as long again is answered; a destination may recover just then.
+  // Guards against held messages filling the room. The one worth least after waiting as long again is
+  // answered.
   void make_room() {
     const std::size_t room = s_.max_held - std::min(s_.max_held - 1, share_of(s_.max_held, kRoomReserve));
     auto promise = [this](const Message& m) { return worth_at(m, now_ + (now_ - m.handed_in)); };
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -563,6 +563,36 @@
   EXPECT_FALSE(logged_failing(b));
 }
 
+// An endpoint that was replaced, while the list still names it, refuses connections: it rests alone, and what
+// waits goes to its sibling at once.
+TEST(DestinationMemory, AnEndpointThatIsGoneRestsAlone) {
+  Settings s = settings();
+  s.forwarders = 100;
+  Bench b(s, {{1, 7, 0, 0, 200, Condition::ready}, {2, 7, 0, 0, 200, Condition::ready}});
+  std::set<EndpointId> used;
+  for (MessageId id = 1; id <= 4; ++id) {
+    for (const MessageId both : {id, id + 100}) b.message(both);
+    for (const MessageId both : {id, id + 100}) {
+      if (b.sends_of(both) == 1) b.outcome(both, Outcome::delivered);
+    }
+    b.advance(seconds(3));
+    for (const auto& [s, at] : b.sent) used.insert(s.endpoint);
+  }
+  ASSERT_EQ(used.size(), 2u);
+  b.message(10);
+  const EndpointId gone = b.sent.back().first.endpoint;
+  b.outcome(10, Outcome::connect_failed);
+  ASSERT_TRUE(logged_failing(b));
+  const std::size_t before = b.sent.size();
+  for (MessageId id = 11; id <= 14; ++id) {
+    b.message(id);
+    if (b.sends_of(id) == 1) b.outcome(id, Outcome::delivered);
+    b.advance(milliseconds(700));
+  }
+  EXPECT_EQ(b.sent.size() - before, 5u) << "the four and the one that had failed";
+  for (std::size_t i = before; i < b.sent.size(); ++i) EXPECT_NE(b.sent[i].first.endpoint, gone);
+}
+
 TEST(DestinationMemory, LongRunOfRefusalsTellsAShutDestination) {
   Bench b(settings());
   warm_up(b, 100, 4);
