--- a/include/starlinghook/delivery.hpp
+++ b/include/starlinghook/delivery.hpp
@@ -129,7 +129,7 @@
   // What the caller's connection showed.
   // A failure that tells of its connection alone: that was up and broke; full: it found no place.
   bool connection_only = false;
-  Time idle{-1};                 // of the connection before the call; 0 = a new one, less = not told
+  Time idle{-1};  // of the connection before the call; 0 = a new one, less = not told
 };
 struct ProbeEnded {
   EndpointId endpoint = 0;
