Take the known list's version up only at the start; drop what nothing called

Whether the watch may begin at the known list was derived from which sources had been there before: after a reload from the settings' list to the platform it would have begun at a version of another list, and missed what had changed before it. Now the start says so, once. Left: WatchPlan keeps its own pause with a random part, of another range and with a floor of its own.

--- a/src/core/retry_pause.hpp
+++ b/src/core/retry_pause.hpp
@@ -19,18 +19,12 @@
   Time next() {
     const Time span = span_;
     span_ = std::min(span_ * 2, most_);
-    return spread(span);
+    return span / 2 + Time(std::uniform_int_distribution<Time::rep>(0, span.count())(random_));
   }
   // After a success: the next failure's pause is short again.
   void reset() { span_ = least_; }
-  // A random part of the span, for what all would begin at once.
-  Time within(Time span) {
-    return Time(std::uniform_int_distribution<Time::rep>(0, std::max(Time(0), span).count())(random_));
-  }
 
  private:
-  Time spread(Time span) { return span / 2 + within(span); }
-
   const Time least_, most_;
   Time span_ = least_;
   std::mt19937_64 random_;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -75,6 +75,10 @@
   // one.
   if (!config_.known.hosts.empty()) set_ready();
   if (config_.platform) notices_.start();
+  // Only at the start: after a reload the hosts that are held may be another source's.
+  if (config_.source == MembershipSource::platform && config_.known.whole && !config_.known.hosts.empty()) {
+    known_version_ = config_.known.version;
+  }
   take_source(config_);
   upgrade();
 }
@@ -170,10 +174,7 @@
       log_("membership", "from the platform, at " + wanted.discovery.text());
       discovery_ = std::make_shared<Discovery>(io_, config_, wanted.discovery, counters_, log_, on_list);
       inherit(*discovery_);
-      if (!old_discovery && !before && inherited_watch_.empty() && config_.known.whole &&
-          !config_.known.hosts.empty()) {
-        discovery_->know(config_.known.version);
-      }
+      if (const auto version = std::exchange(known_version_, std::nullopt)) discovery_->know(*version);
       return discovery_->start();
     case MembershipSource::list:
       log_("membership", "from the settings, " + std::to_string(wanted.known.hosts.size()) + " hosts");
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -132,6 +132,7 @@
   pid_t old_process_ = -1;
   MembershipSource inherited_source_{};
   std::string inherited_watch_;
+  std::optional<std::uint64_t> known_version_;  // of the list that this life begins with, for its first watch
   std::optional<asio::posix::stream_descriptor> old_end_;
   asio::steady_timer old_timer_;
 };
