Lease: who holds a role of the fleet, on a Consul session and lock, without I/O or clock

Change: src/lease, a package of its own with no dependencies. One Lease per role seeks, renews and gives up a session's lock as Consul's lock recipe does. It acts only once the key's LockIndex (the fencing token) is read, and only while now < send of the last confirmed renew + TTL - margin. Ten unit tests.

Mended (the token is the key's as last read); Lease.TakesTheTokenFromTheKeyWhenARenewEndsALapse fails without the mend.

--- /dev/null
+++ b/src/lease/lease.cpp
@@ -0,0 +1,247 @@
+#include "lease.hpp"
+
+#include <algorithm>
+#include <sstream>
+
+namespace fennellane::lease {
+namespace {
+
+template <class... F>
+struct Overloaded : F... {
+  using F::operator()...;
+};
+
+long long seconds_of(Time t) { return std::chrono::duration_cast<std::chrono::milliseconds>(t).count(); }
+
+}  // namespace
+
+std::string timing_problem(const Timing& timing) {
+  if (timing.ttl < std::chrono::seconds(10) || timing.ttl > std::chrono::hours(24))
+    return "ttl: Consul takes 10 s to 86,400 s";
+  if (timing.margin < Time::zero()) return "margin: below zero";
+  if (timing.call <= Time::zero() || timing.retry <= Time::zero() || timing.renew_every <= Time::zero())
+    return "call, retry and renew_every: above zero";
+  // Guards against a lease that lapses between two renews that go well: the next renew is sent at
+  // `renew_every` and answered within `call`, and acting ends at `ttl - margin`.
+  if (timing.renew_every + timing.call >= timing.ttl - timing.margin)
+    return "renew_every + call: under ttl - margin";
+  if (timing.lock_delay < timing.call)
+    return "lock_delay: at least one call, so that one under way has ended";
+  return {};
+}
+
+const char* step_name(Lease::Step step) {
+  switch (step) {
+    case Lease::Step::off:
+      return "off";
+    case Lease::Step::making:
+      return "making";
+    case Lease::Step::seeking:
+      return "seeking";
+    case Lease::Step::holding:
+      return "holding";
+    case Lease::Step::acting:
+      return "acting";
+    case Lease::Step::lapsed:
+      return "lapsed";
+    case Lease::Step::releasing:
+      return "releasing";
+  }
+  return "?";
+}
+
+Lease::Lease(const Timing& timing) : timing_(timing) {}
+
+bool Lease::may_act(Time now) const { return step_ == Step::acting && now < acting_ends(); }
+
+std::optional<Token> Lease::token() const {
+  if (step_ != Step::acting) return std::nullopt;
+  return token_;
+}
+
+std::vector<Effect> Lease::handle(Time now, const Input& input) {
+  Effects out;
+  std::visit([&](const auto& in) { on(now, in, out); }, input);
+  if (out_ == Call::none) next_call(now, out);
+  // The next moment at which something is due. What waits for an answer wakes with that answer.
+  std::optional<Time> due;
+  const auto consider = [&due](Time at) { due = due ? std::min(*due, at) : at; };
+  if (step_ == Step::acting || step_ == Step::holding) consider(acting_ends());
+  if (out_ == Call::none && step_ != Step::off) {
+    if (!session_.empty()) consider(std::max(confirmed_ + timing_.renew_every, next_try_));
+    if (session_.empty() ||
+        (step_ == Step::seeking && (!key_seen_ || seen_holder_.empty() || seen_holder_ == session_)))
+      consider(next_try_);
+  }
+  if (due && (!timer_set_ || *due != timer_)) {
+    timer_set_ = true;
+    timer_ = *due;
+    out.push_back(SetTimer{*due});
+  }
+  return out;
+}
+
+void Lease::next_call(Time now, Effects& out) {
+  if (!wanted_) {
+    if (session_.empty()) {
+      step_ = Step::off;
+      return;
+    }
+    const bool holds = step_ == Step::holding || step_ == Step::acting || step_ == Step::lapsed;
+    step_ = Step::releasing;
+    out_ = Call::release;
+    out.push_back(Release{session_, holds});
+    return;
+  }
+  if (now < next_try_) return;
+  if (session_.empty()) {
+    step_ = Step::making;
+    out_ = Call::create;
+    out.push_back(CreateSession{timing_.ttl, timing_.lock_delay});
+    return;
+  }
+  if (now >= confirmed_ + timing_.renew_every) {
+    out_ = Call::renew;
+    out.push_back(Renew{session_});
+    return;
+  }
+  // Guards against a fleet asking Consul for a lock that is held: only a key seen free (or never seen) is
+  // asked for; one held is waited for on the blocking read.
+  if (step_ == Step::seeking && (!key_seen_ || seen_holder_.empty() || seen_holder_ == session_)) {
+    out_ = Call::acquire;
+    out.push_back(Acquire{session_});
+  }
+}
+
+void Lease::stop(const std::string& why, Step next, Effects& out) {
+  if (step_ == Step::acting) out.push_back(Stop{why});
+  if (step_ == Step::acting || step_ == Step::holding || step_ == Step::lapsed)
+    out.push_back(Say{"lease: " + why + ", from " + step_name(step_) + " to " + step_name(next)});
+  step_ = next;
+}
+
+void Lease::forget_session() {
+  session_.clear();
+  key_seen_ = false;
+  seen_holder_.clear();
+  seen_index_ = 0;
+  seen_modify_ = 0;
+  token_ = 0;
+}
+
+void Lease::on(Time, const Want&, Effects&) { wanted_ = true; }
+
+void Lease::on(Time, const Unwant&, Effects& out) {
+  wanted_ = false;
+  if (step_ == Step::acting || step_ == Step::holding || step_ == Step::lapsed) stop("given up", step_, out);
+  if (step_ == Step::acting) step_ = Step::holding;  // no more acting; released by next_call
+}
+
+void Lease::on(Time now, const SessionMade& made, Effects& out) {
+  out_ = Call::none;
+  session_ = made.id;
+  confirmed_ = made.sent;
+  step_ = Step::seeking;
+  next_try_ = now;
+  out.push_back(Say{"lease: session " + made.id + " made"});
+}
+
+void Lease::on(Time now, const LockAnswer& answer, Effects& out) {
+  out_ = Call::none;
+  if (step_ != Step::seeking) return;
+  if (!answer.held) {
+    // Refused: held by another, or within the lock-delay of a holder that is gone.
+    next_try_ = now + timing_.retry;
+    return;
+  }
+  step_ = Step::holding;
+  out.push_back(Say{"lease: acquired with session " + session_});
+  if (wanted_ && key_seen_ && seen_holder_ == session_ && now < acting_ends()) {
+    token_ = seen_index_;
+    step_ = Step::acting;
+    out.push_back(Act{token_});
+  }
+}
+
+void Lease::on(Time now, const RenewAnswer& answer, Effects& out) {
+  out_ = Call::none;
+  if (!answer.alive) {
+    stop("session gone", Step::seeking, out);
+    out.push_back(Say{"lease: session " + session_ + " is gone"});
+    forget_session();
+    next_try_ = now;
+    return;
+  }
+  confirmed_ = std::max(confirmed_, answer.sent);
+  // The session lived when Consul read this renew; the lock is ours unless the key said otherwise.
+  if (step_ == Step::lapsed && wanted_ && key_seen_ && seen_holder_ == session_ && now < acting_ends()) {
+    // The token is the key's as last read: a lapse may have come before the key was first heard.
+    token_ = seen_index_;
+    step_ = Step::acting;
+    out.push_back(Say{"lease: renewed after a lapse, token " + std::to_string(token_)});
+    out.push_back(Act{token_});
+  }
+}
+
+void Lease::on(Time now, const CallFailed&, Effects& out) {
+  const Call failed = out_;
+  out_ = Call::none;
+  next_try_ = now + timing_.retry;
+  if (failed == Call::release) {
+    // Consul invalidates it at its TTL in any case.
+    forget_session();
+    step_ = Step::off;
+  } else if (failed == Call::renew) {
+    out.push_back(Say{"lease: renew missed"});
+  }
+}
+
+void Lease::on(Time now, const KeySeen& seen, Effects& out) {
+  if (key_seen_ && seen.index < seen_modify_) return;
+  seen_modify_ = seen.index;
+  key_seen_ = true;
+  seen_holder_ = seen.holder;
+  seen_index_ = seen.lock_index;
+  const bool had = step_ == Step::holding || step_ == Step::acting || step_ == Step::lapsed;
+  if (had && (seen.holder != session_ || (step_ == Step::acting && seen.lock_index != token_))) {
+    stop("held by another", Step::seeking, out);
+    token_ = 0;
+    next_try_ = now;
+    return;
+  }
+  // Seeking too: an acquire that Consul took but whose answer was lost shows here first.
+  if ((step_ == Step::holding || step_ == Step::seeking) && wanted_ && seen.holder == session_) {
+    if (now >= acting_ends()) {
+      step_ = Step::lapsed;
+      return;
+    }
+    token_ = seen.lock_index;
+    step_ = Step::acting;
+    out.push_back(Act{token_});
+  }
+}
+
+void Lease::on(Time now, const Done&, Effects& out) {
+  out_ = Call::none;
+  out.push_back(Say{"lease: released, session " + session_ + " destroyed"});
+  forget_session();
+  step_ = Step::off;
+  next_try_ = now;
+}
+
+void Lease::on(Time now, const TimeDue&, Effects& out) {
+  timer_set_ = false;
+  if ((step_ == Step::acting || step_ == Step::holding) && now >= acting_ends())
+    stop("no renew confirmed within ttl - margin", Step::lapsed, out);
+}
+
+std::string Lease::fingerprint(Time now) const {
+  const auto ahead = [now](Time t) { return seconds_of(std::max(t - now, Time::zero())); };
+  std::ostringstream text;
+  text << static_cast<int>(step_) << wanted_ << static_cast<int>(out_) << '|' << session_ << '|'
+       << seconds_of(confirmed_ - now) << '|' << ahead(next_try_) << '|' << key_seen_ << seen_holder_ << '|'
+       << seen_index_ << '|' << seen_modify_ << '|' << token_ << '|' << timer_set_ << ahead(timer_);
+  return text.str();
+}
+
+}  // namespace fennellane::lease
--- /dev/null
+++ b/tests/lease_test.cpp
@@ -0,0 +1,141 @@
+// The lease's decisions, without Consul: each test plays the answers that Consul would give.
+#include "lease.hpp"
+
+#include <gtest/gtest.h>
+
+namespace fennellane::lease {
+namespace {
+
+using std::chrono::seconds;
+
+Timing short_timing() {  // the model's, in seconds
+  Timing t;
+  t.ttl = seconds(5);
+  t.renew_every = seconds(2);
+  t.margin = seconds(1);
+  t.lock_delay = seconds(2);
+  t.call = seconds(2);
+  t.retry = seconds(1);
+  return t;
+}
+
+template <class E>
+const E* find(const std::vector<Effect>& effects) {
+  for (const Effect& e : effects)
+    if (const auto* found = std::get_if<E>(&e)) return found;
+  return nullptr;
+}
+
+// Wanted, a session made at 0 and the lock granted: the state from which the tests below go on.
+Lease holding(const Timing& timing) {
+  Lease lease(timing);
+  EXPECT_NE(find<CreateSession>(lease.handle(seconds(0), Want{})), nullptr);
+  EXPECT_NE(find<Acquire>(lease.handle(seconds(0), SessionMade{"s1", seconds(0)})), nullptr);
+  lease.handle(seconds(1), LockAnswer{true, seconds(0)});
+  EXPECT_EQ(lease.step(), Lease::Step::holding);
+  return lease;
+}
+
+TEST(Lease, ActsOnlyOnceTheTokenIsKnown) {
+  Lease lease = holding(short_timing());
+  EXPECT_FALSE(lease.may_act(seconds(1)));
+  const auto effects = lease.handle(seconds(1), KeySeen{"s1", 7, 20});
+  ASSERT_NE(find<Act>(effects), nullptr);
+  EXPECT_EQ(find<Act>(effects)->token, 7u);
+  EXPECT_TRUE(lease.may_act(seconds(1)));
+  EXPECT_EQ(lease.token(), 7u);
+}
+
+TEST(Lease, StopsWhereNoRenewIsConfirmedBeforeTheMargin) {
+  Lease lease = holding(short_timing());
+  lease.handle(seconds(1), KeySeen{"s1", 7, 20});
+  EXPECT_NE(find<Renew>(lease.handle(seconds(2), TimeDue{})), nullptr);
+  lease.handle(seconds(3), CallFailed{});
+  EXPECT_TRUE(lease.may_act(seconds(3)));
+  // Acting ends at ttl - margin from the send of the session's create, 4 s.
+  EXPECT_FALSE(lease.may_act(seconds(4)));
+  EXPECT_NE(find<Stop>(lease.handle(seconds(4), TimeDue{})), nullptr);
+  EXPECT_EQ(lease.step(), Lease::Step::lapsed);
+}
+
+TEST(Lease, MeasuresFromTheSendOfTheRenewNotItsAnswer) {
+  Lease lease = holding(short_timing());
+  lease.handle(seconds(1), KeySeen{"s1", 7, 20});
+  lease.handle(seconds(2), TimeDue{});
+  lease.handle(seconds(3), RenewAnswer{true, seconds(2)});  // sent at 2, answered at 3
+  EXPECT_TRUE(lease.may_act(seconds(5)));
+  EXPECT_FALSE(lease.may_act(seconds(6)));  // 2 + 5 - 1
+}
+
+// Found by the model: the key was first heard after the lease had lapsed, and a renew then came back.
+TEST(Lease, TakesTheTokenFromTheKeyWhenARenewEndsALapse) {
+  Lease lease = holding(short_timing());
+  lease.handle(seconds(2), TimeDue{});            // the renew is sent
+  lease.handle(seconds(4), KeySeen{"s1", 1, 2});  // at the end of acting: lapsed, not acting
+  EXPECT_EQ(lease.step(), Lease::Step::lapsed);
+  const auto effects = lease.handle(seconds(4), RenewAnswer{true, seconds(3)});
+  ASSERT_NE(find<Act>(effects), nullptr);
+  EXPECT_EQ(find<Act>(effects)->token, 1u);
+  EXPECT_EQ(lease.token(), 1u);
+}
+
+TEST(Lease, StopsAtOnceWhereTheKeyNamesAnotherHolder) {
+  Lease lease = holding(short_timing());
+  lease.handle(seconds(1), KeySeen{"s1", 7, 20});
+  const auto effects = lease.handle(seconds(1), KeySeen{"s2", 8, 21});
+  EXPECT_NE(find<Stop>(effects), nullptr);
+  EXPECT_FALSE(lease.may_act(seconds(1)));
+  EXPECT_EQ(lease.step(), Lease::Step::seeking);
+  // A held key is waited for on the blocking read, not asked for again.
+  const auto due = lease.handle(seconds(3), TimeDue{});
+  EXPECT_EQ(find<Acquire>(due), nullptr);
+  EXPECT_NE(find<Renew>(due), nullptr);  // one call at a time: the renew goes first
+  lease.handle(seconds(3), RenewAnswer{true, seconds(3)});
+  EXPECT_NE(find<Acquire>(lease.handle(seconds(3), KeySeen{"", 8, 22})), nullptr);
+}
+
+TEST(Lease, DropsAnOlderAnswerOfTheBlockingRead) {
+  Lease lease = holding(short_timing());
+  lease.handle(seconds(1), KeySeen{"s1", 7, 20});
+  lease.handle(seconds(1), KeySeen{"s2", 6, 19});
+  EXPECT_TRUE(lease.may_act(seconds(1)));
+}
+
+TEST(Lease, TakesALockWhoseAnswerWasLostFromTheKey) {
+  Lease lease(short_timing());
+  lease.handle(seconds(0), Want{});
+  lease.handle(seconds(0), SessionMade{"s1", seconds(0)});
+  lease.handle(seconds(2), CallFailed{});  // the acquire's answer was lost; Consul took it
+  EXPECT_NE(find<Act>(lease.handle(seconds(2), KeySeen{"s1", 3, 9})), nullptr);
+}
+
+TEST(Lease, MakesANewSessionWhereTheOldOneIsGone) {
+  Lease lease = holding(short_timing());
+  lease.handle(seconds(1), KeySeen{"s1", 7, 20});
+  lease.handle(seconds(2), TimeDue{});
+  const auto effects = lease.handle(seconds(3), RenewAnswer{false, seconds(2)});
+  EXPECT_NE(find<Stop>(effects), nullptr);
+  EXPECT_NE(find<CreateSession>(effects), nullptr);
+  EXPECT_TRUE(lease.session().empty());
+}
+
+TEST(Lease, GivesUpByReleaseAndDestroy) {
+  Lease lease = holding(short_timing());
+  lease.handle(seconds(1), KeySeen{"s1", 7, 20});
+  const auto effects = lease.handle(seconds(1), Unwant{});
+  EXPECT_NE(find<Stop>(effects), nullptr);
+  ASSERT_NE(find<Release>(effects), nullptr);
+  EXPECT_TRUE(find<Release>(effects)->holds);
+  lease.handle(seconds(2), Done{});
+  EXPECT_EQ(lease.step(), Lease::Step::off);
+}
+
+TEST(Lease, RefusesATimingWhoseRenewCannotComeBackBeforeActingEnds) {
+  EXPECT_EQ(timing_problem(Timing{}), "");
+  Timing t;
+  t.renew_every = seconds(12);
+  EXPECT_NE(timing_problem(t), "");
+}
+
+}  // namespace
+}  // namespace fennellane::lease
--- /dev/null
+++ b/tools/modelcheck/lease_model.cpp
@@ -0,0 +1,427 @@
+#include "lease_model.hpp"
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <sstream>
+#include <unordered_map>
+
+#include "lease.hpp"
+
+namespace fennellane::lease {
+namespace {
+
+Time at(int tick) { return std::chrono::seconds(tick); }
+int tick_of(Time t) { return static_cast<int>(std::chrono::duration_cast<std::chrono::seconds>(t).count()); }
+
+enum class Kind : std::uint8_t { create, acquire, renew, release, write, call, made, locked, renewed, done };
+
+struct Message {
+  Kind kind{};
+  int who = 0;
+  std::string session;
+  Token token = 0;
+  bool flag = false;  // held, alive, holds
+  int sent = 0;       // of the request that it answers
+  int age = 0;        // ticks on the way
+  int call_id = 0;
+};
+
+struct Session {
+  std::string id;
+  bool alive = true;
+  int expires = 0;
+};
+
+struct Snapshot {
+  std::string holder;
+  Token lock_index = 0;
+  std::uint64_t index = 0;
+};
+
+struct Contender {
+  std::shared_ptr<const Lease> lease;  // copied on write
+  bool paused = false;
+  std::optional<int> timer;
+  int call_id = 0;  // of the call out; 0 none
+  int calls_made = 0;
+  int call_sent = 0;
+  std::optional<Snapshot> read;     // read from Consul, not yet delivered
+  std::uint64_t read_index = 0;     // of the newest read
+  std::optional<Message> prepared;  // a write whose lease was checked, not yet sent
+  int writes = 0, calls = 0;
+};
+
+struct World {
+  int now = 0;
+  std::vector<Contender> contenders;
+  std::vector<Session> sessions;
+  std::string holder;
+  Token lock_index = 0;
+  std::uint64_t modify = 1;
+  int delay_until = 0;
+  std::vector<Message> to_consul, to_contender;
+  std::string last_acting;  // the session of the newest check that let a contender act
+  int losses = 0, pauses = 0, restarts = 0;
+};
+
+std::string fingerprint(const World& w) {
+  std::ostringstream s;
+  s << w.now << '|' << w.holder << '|' << w.lock_index << '|' << w.modify << '|' << w.delay_until << '|'
+    << w.last_acting << '|' << w.losses << w.pauses << w.restarts;
+  for (const Contender& c : w.contenders) {
+    s << "#" << c.lease->fingerprint(at(w.now)) << c.paused << (c.timer ? *c.timer : -1) << ',' << c.call_id
+      << ',' << c.call_sent << ',' << c.calls_made << ',' << c.read_index << c.writes << c.calls;
+    if (c.read) s << 'r' << c.read->holder << c.read->lock_index << ',' << c.read->index;
+    if (c.prepared) s << 'p' << c.prepared->session << c.prepared->token;
+  }
+  for (const Session& x : w.sessions) s << "$" << x.id << x.alive << x.expires;
+  for (const auto* q : {&w.to_consul, &w.to_contender})
+    for (const Message& m : *q)
+      s << "m" << static_cast<int>(m.kind) << m.who << m.session << m.token << m.flag << m.sent << m.age
+        << m.call_id;
+  return s.str();
+}
+
+class Explorer {
+ public:
+  explicit Explorer(const LeaseModelBounds& b) : b_(b) {
+    timing_.ttl = at(b.ttl);
+    timing_.renew_every = at(b.renew_every);
+    timing_.margin = at(b.margin);
+    timing_.lock_delay = at(b.lock_delay);
+    timing_.call = at(b.call);
+    timing_.retry = at(b.retry);
+  }
+
+  LeaseModelResult run() {
+    World first;
+    for (int i = 0; i < b_.contenders; ++i) {
+      Contender c;
+      c.lease = std::make_shared<const Lease>(timing_);
+      first.contenders.push_back(c);
+      feed(first, i, Want{});
+    }
+    add(first, "", -1);
+    while (!queue_.empty() && result_.broken.empty()) {
+      if (seen_.size() > b_.most_states) {
+        result_.whole = false;
+        break;
+      }
+      const auto [w, index] = std::move(queue_.front());
+      queue_.pop_front();
+      successors(w, static_cast<long>(index));
+    }
+    result_.states = seen_.size();
+    return result_;
+  }
+
+ private:
+  void add(const World& w, const std::string& step, long parent) {
+    ++result_.transitions;
+    if (!result_.broken.empty()) return;
+    // A hash of 64 bits stands for the state: two states taken for one are unlikely below billions.
+    auto [it, fresh] = seen_.emplace(std::hash<std::string>{}(fingerprint(w)), parent_.size());
+    if (!fresh) return;
+    parent_.push_back(parent);
+    step_.push_back(step);
+    queue_.emplace_back(w, it->second);
+  }
+
+  void fail(const World&, const std::string& rule, const std::string& step, long parent) {
+    if (!result_.broken.empty()) return;
+    result_.broken = rule;
+    std::vector<std::string> trace{step};
+    for (long i = parent; i > 0; i = parent_[static_cast<std::size_t>(i)])
+      trace.push_back(step_[static_cast<std::size_t>(i)]);
+    result_.trace.assign(trace.rbegin(), trace.rend());
+  }
+
+  // Gives one input to a contender's lease and carries out its effects.
+  void feed(World& w, int who, const Input& input) {
+    Contender& c = w.contenders[who];
+    auto lease = std::make_shared<Lease>(*c.lease);
+    const std::vector<Effect> effects = lease->handle(at(w.now), input);
+    c.lease = lease;
+    for (const Effect& effect : effects) {
+      Message m;
+      m.who = who;
+      m.sent = w.now;
+      if (const auto* e = std::get_if<Acquire>(&effect)) {
+        m.kind = Kind::acquire;
+        m.session = e->session;
+      } else if (const auto* e = std::get_if<Renew>(&effect)) {
+        m.kind = Kind::renew;
+        m.session = e->session;
+      } else if (const auto* e = std::get_if<Release>(&effect)) {
+        m.kind = Kind::release;
+        m.session = e->session;
+        m.flag = e->holds;
+      } else if (std::holds_alternative<CreateSession>(effect)) {
+        m.kind = Kind::create;
+      } else if (const auto* e = std::get_if<SetTimer>(&effect)) {
+        c.timer = tick_of(e->at);
+        continue;
+      } else if (std::holds_alternative<Stop>(effect)) {
+        c.prepared.reset();  // what is under way is called off, where the process runs
+        continue;
+      } else {
+        continue;
+      }
+      m.call_id = ++c.calls_made;
+      c.call_id = m.call_id;
+      c.call_sent = w.now;
+      w.to_consul.push_back(m);
+    }
+  }
+
+  void invalidate(World& w, Session& s) {
+    s.alive = false;
+    if (w.holder == s.id) {
+      w.holder.clear();
+      ++w.modify;
+      w.delay_until = w.now + b_.lock_delay;
+    }
+  }
+
+  // Consul reads one request and answers it.
+  void consul_reads(World& w, const Message& m, const std::string& step, long parent) {
+    Session* s = nullptr;
+    for (Session& x : w.sessions)
+      if (x.id == m.session && x.alive) s = &x;
+    Message answer;
+    answer.who = m.who;
+    answer.sent = m.sent;
+    answer.call_id = m.call_id;
+    switch (m.kind) {
+      case Kind::create: {
+        w.sessions.push_back(Session{"s" + std::to_string(w.sessions.size() + 1), true, w.now + b_.ttl});
+        answer.kind = Kind::made;
+        answer.session = w.sessions.back().id;
+        break;
+      }
+      case Kind::acquire:
+        answer.kind = Kind::locked;
+        if (s && w.holder == s->id) {
+          answer.flag = true;
+        } else if (s && w.holder.empty() && w.now >= w.delay_until) {
+          w.holder = s->id;
+          ++w.lock_index;
+          ++w.modify;
+          answer.flag = true;
+        }
+        break;
+      case Kind::renew:
+        answer.kind = Kind::renewed;
+        answer.flag = s != nullptr;
+        if (s) s->expires = w.now + b_.ttl;
+        break;
+      case Kind::release:
+        answer.kind = Kind::done;
+        if (s && w.holder == s->id) {
+          w.holder.clear();
+          ++w.modify;
+        }
+        if (s) s->alive = false;  // destroyed after the release: no lock is held, so no lock-delay
+        break;
+      case Kind::write:
+        if (b_.fence && !(s && w.holder == s->id && w.lock_index == m.token))
+          return;  // refused by check-session
+        if (!(s && w.holder == s->id && w.lock_index == m.token))
+          fail(w, "a write was taken from a session that does not hold the lock", step, parent);
+        return;
+      case Kind::call:
+        if (w.last_acting != m.session)
+          fail(w, "a call landed after another session had acted", step, parent);
+        return;
+      default:
+        return;
+    }
+    w.to_contender.push_back(answer);
+  }
+
+  void contender_reads(World& w, const Message& m) {
+    Contender& c = w.contenders[m.who];
+    if (m.call_id != c.call_id) return;  // given up on by its time-out
+    c.call_id = 0;
+    const Time sent = at(b_.from_answer ? w.now : m.sent);
+    switch (m.kind) {
+      case Kind::made:
+        feed(w, m.who, SessionMade{m.session, sent});
+        break;
+      case Kind::locked:
+        feed(w, m.who, LockAnswer{m.flag, sent});
+        break;
+      case Kind::renewed:
+        feed(w, m.who, RenewAnswer{m.flag, sent});
+        break;
+      case Kind::done:
+        feed(w, m.who, Done{});
+        break;
+      default:
+        break;
+    }
+  }
+
+  // What must happen before the clock moves on, where its process runs.
+  bool due(const World& w) const {
+    for (const Message& m : w.to_consul)
+      if (m.age >= 1) return true;
+    for (const Message& m : w.to_contender)
+      if (m.age >= 1 && !w.contenders[m.who].paused) return true;
+    for (const Contender& c : w.contenders) {
+      if (c.paused) continue;
+      if (c.timer && *c.timer <= w.now) return true;
+      if (c.call_id != 0 && w.now >= c.call_sent + b_.call) return true;
+    }
+    for (const Session& s : w.sessions)
+      if (s.alive && w.now >= s.expires + b_.ttl) return true;  // Consul waits up to twice the TTL
+    return false;
+  }
+
+  void successors(const World& w, long index) {
+    const auto next = [&](const std::string& step, auto change) {
+      World n = w;
+      change(n);
+      add(n, step, index);
+    };
+    for (std::size_t i = 0; i < w.to_consul.size(); ++i) {
+      const std::string step = "consul reads " + describe(w.to_consul[i]);
+      World n = w;
+      const Message m = n.to_consul[i];
+      n.to_consul.erase(n.to_consul.begin() + static_cast<long>(i));
+      consul_reads(n, m, step, index);
+      add(n, step, index);
+      if (w.losses < b_.losses && m.kind != Kind::write && m.kind != Kind::call)
+        next("lost: " + describe(m), [&](World& x) {
+          x.to_consul.erase(x.to_consul.begin() + static_cast<long>(i));
+          ++x.losses;
+        });
+    }
+    for (std::size_t i = 0; i < w.to_contender.size(); ++i) {
+      const Message& m = w.to_contender[i];
+      if (w.contenders[m.who].paused) continue;
+      next("c" + std::to_string(m.who) + " reads " + describe(m), [&](World& x) {
+        const Message copy = x.to_contender[i];
+        x.to_contender.erase(x.to_contender.begin() + static_cast<long>(i));
+        contender_reads(x, copy);
+      });
+      if (w.losses < b_.losses)
+        next("lost: " + describe(m), [&](World& x) {
+          x.to_contender.erase(x.to_contender.begin() + static_cast<long>(i));
+          ++x.losses;
+        });
+    }
+    for (int who = 0; who < static_cast<int>(w.contenders.size()); ++who) {
+      const Contender& c = w.contenders[who];
+      const std::string name = "c" + std::to_string(who);
+      if (c.paused) {
+        next(name + " resumes", [&](World& x) { x.contenders[who].paused = false; });
+        continue;
+      }
+      if (w.pauses < b_.pauses)
+        next(name + " is paused", [&](World& x) {
+          x.contenders[who].paused = true;
+          ++x.pauses;
+        });
+      if (c.timer && *c.timer <= w.now)
+        next(name + " timer", [&](World& x) {
+          x.contenders[who].timer.reset();
+          feed(x, who, TimeDue{});
+        });
+      if (c.call_id != 0 && w.now >= c.call_sent + b_.call)
+        next(name + " call timed out", [&](World& x) {
+          x.contenders[who].call_id = 0;
+          feed(x, who, CallFailed{});
+        });
+      // The blocking read: Consul's key as it is now, handed over at some later step.
+      if (!c.read && w.modify > c.read_index)
+        next(name + " reads the key", [&](World& x) {
+          x.contenders[who].read = Snapshot{x.holder, x.lock_index, x.modify};
+          x.contenders[who].read_index = x.modify;
+        });
+      if (c.read)
+        next(name + " hears the key: " + (c.read->holder.empty() ? "free" : c.read->holder), [&](World& x) {
+          const Snapshot s = *x.contenders[who].read;
+          x.contenders[who].read.reset();
+          feed(x, who, KeySeen{s.holder, s.lock_index, s.index});
+        });
+      const bool acts = c.lease->may_act(at(w.now));
+      if (acts && (c.writes < b_.writes || c.calls < b_.calls)) check_lease(w, who, index);
+      if (c.prepared)
+        next(name + " sends its write", [&](World& x) {
+          Contender& y = x.contenders[who];
+          x.to_consul.push_back(*y.prepared);
+          y.prepared.reset();
+        });
+    }
+    if (w.restarts < b_.restarts)
+      next("consul restarts", [&](World& x) {
+        ++x.restarts;
+        x.to_consul.clear();  // its connections are reset; what was on them is lost
+        x.to_contender.clear();
+        for (Session& s : x.sessions)
+          if (s.alive) s.expires = x.now + b_.ttl;  // as at a leader's change
+      });
+    for (std::size_t i = 0; i < w.sessions.size(); ++i)
+      if (w.sessions[i].alive && w.now >= w.sessions[i].expires)
+        next("consul invalidates " + w.sessions[i].id, [&](World& x) { invalidate(x, x.sessions[i]); });
+    if (w.now < b_.ticks && !due(w))
+      next("tick " + std::to_string(w.now + 1), [&](World& x) {
+        ++x.now;
+        for (auto* q : {&x.to_consul, &x.to_contender})
+          for (Message& m : *q) ++m.age;
+      });
+  }
+
+  // Rule (1) at the check, then a write prepared or a call sent.
+  void check_lease(const World& w, int who, long index) {
+    const Contender& c = w.contenders[who];
+    const std::string session = c.lease->session();
+    const Token token = *c.lease->token();
+    const std::string step =
+        "c" + std::to_string(who) + " acts with " + session + ", token " + std::to_string(token);
+    ++result_.acts;
+    if (w.holder != session || w.lock_index != token) {
+      fail(w, "a lease let its contender act while Consul held the lock otherwise", step, index);
+      return;
+    }
+    if (c.writes < b_.writes && !c.prepared) {
+      World n = w;
+      n.last_acting = session;
+      ++n.contenders[who].writes;
+      n.contenders[who].prepared = Message{Kind::write, who, session, token, false, w.now, 0, 0};
+      add(n, step + ": write", index);
+    }
+    if (c.calls < b_.calls) {
+      World n = w;
+      n.last_acting = session;
+      ++n.contenders[who].calls;
+      n.to_consul.push_back(Message{Kind::call, who, session, token, false, w.now, 0, 0});
+      add(n, step + ": call", index);
+    }
+  }
+
+  static std::string describe(const Message& m) {
+    static const char* names[] = {"create", "acquire", "renew",  "release", "write",
+                                  "call",   "made",    "locked", "renewed", "done"};
+    std::string text = std::string(names[static_cast<int>(m.kind)]) + " of c" + std::to_string(m.who);
+    if (!m.session.empty()) text += " " + m.session;
+    if (m.kind == Kind::locked || m.kind == Kind::renewed) text += m.flag ? " yes" : " no";
+    return text;
+  }
+
+  const LeaseModelBounds b_;
+  Timing timing_;
+  LeaseModelResult result_;
+  std::unordered_map<std::size_t, std::size_t> seen_;  // by the hash of its fingerprint
+  std::vector<long> parent_;                           // by state, for the trace
+  std::vector<std::string> step_;
+  std::deque<std::pair<World, std::size_t>> queue_;  // what is still to be explored
+};
+
+}  // namespace
+
+LeaseModelResult explore(const LeaseModelBounds& bounds) { return Explorer(bounds).run(); }
+
+}  // namespace fennellane::lease
