--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include "lease_model.hpp"
+
 namespace fennellane::lease {
 namespace {
 
@@ -139,3 +141,41 @@
 
 }  // namespace
 }  // namespace fennellane::lease
+
+namespace fennellane::lease {
+namespace {
+
+// The model's walks: the lease keeps the three rules, and the two planted bugs are found.
+LeaseModelBounds walks(std::size_t count) {
+  LeaseModelBounds b;
+  b.ticks = 40;
+  b.ttl = 10;
+  b.renew_every = 4;
+  b.margin = 1;
+  b.lock_delay = 3;
+  b.pauses = 6;
+  b.losses = 3;
+  b.walks = count;
+  return b;
+}
+
+TEST(LeaseModel, KeepsItsRulesOverSeededWalks) {
+  const LeaseModelResult result = explore(walks(5000));
+  EXPECT_EQ(result.broken, "");
+  EXPECT_GT(result.acts, 1000u);
+}
+
+TEST(LeaseModel, FindsAWriteOfAnOldOwnerWhereNothingIsFenced) {
+  LeaseModelBounds b = walks(20000);
+  b.fence = false;
+  EXPECT_EQ(explore(b).broken, "a write was taken from a session that does not hold the lock");
+}
+
+TEST(LeaseModel, FindsALeaseMeasuredFromTheRenewsAnswer) {
+  LeaseModelBounds b = walks(20000);
+  b.from_answer = true;
+  EXPECT_EQ(explore(b).broken, "a lease let its contender act while Consul held the lock otherwise");
+}
+
+}  // namespace
+}  // namespace fennellane::lease
--- a/tools/check_lease.cpp
+++ b/tools/check_lease.cpp
@@ -23,6 +23,10 @@
   app.add_option("--restarts", b.restarts)->check(CLI::Range(0, 9))->capture_default_str();
   app.add_option("--writes", b.writes)->check(CLI::Range(0, 9))->capture_default_str();
   app.add_option("--calls", b.calls)->check(CLI::Range(0, 9))->capture_default_str();
+  app.add_option("--most-states", b.most_states)->capture_default_str();
+  app.add_option("--walks", b.walks, "so many random walks instead of all interleavings")
+      ->capture_default_str();
+  app.add_option("--seed", b.seed, "of the walks")->capture_default_str();
   app.add_flag("--no-fence", no_fence, "plant a bug: a value that takes any write");
   app.add_flag("--from-answer", b.from_answer, "plant a bug: the lease measured from the renew's answer");
   CLI11_PARSE(app, argc, argv);
@@ -32,6 +36,9 @@
   const double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
   std::printf("%zu states, %zu transitions, %zu checks that let a contender act, %.1f s%s\n", r.states,
               r.transitions, r.acts, seconds, r.whole ? "" : ", not all explored");
+  if (r.broken.empty() && !r.whole) std::printf("the way to the newest state:\n");
+  for (const std::string& step : r.trace)
+    if (r.broken.empty()) std::printf("  %s\n", step.c_str());
   if (r.broken.empty()) return r.whole ? 0 : 2;
   std::printf("broken: %s\n", r.broken.c_str());
   for (const std::string& step : r.trace) std::printf("  %s\n", step.c_str());
--- a/tools/modelcheck/lease_model.hpp
+++ b/tools/modelcheck/lease_model.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -22,10 +23,12 @@
   bool fence = true;         // false: the planted bug, a value that takes any write
   bool from_answer = false;  // true: the planted bug, a lease measured from the renew's answer, not its send
   std::size_t most_states = 20'000'000;
+  std::size_t walks = 0;          // above 0: so many random walks instead of all interleavings
+  std::uint64_t seed = 20261201;  // of the walks
 };
 
 struct LeaseModelResult {
-  std::size_t states = 0;
+  std::size_t states = 0;  // seen; of walks, the steps taken
   std::size_t transitions = 0;
   std::size_t acts = 0;            // checks that let a contender act, over all states
   bool whole = true;               // all was explored
