Lease: read the key before acquiring, so that an older answer is not taken for a loss

Cause: in the model's walks a blocking-read answer taken before the acquire and heard after it named the key free. The fresh holder then took the lock for lost and asked for it again; Consul said yes, so it cost a call, not safety.

Change: as in Consul's lock recipe, the key is read before the acquire; the lease keeps that read's ModifyIndex and takes only newer answers as a sign that the lock is gone. Lease.KeepsALockThatAnAnswerFromBeforeItsAcquireCallsFree fails without it.

Ruled out: a mend in the model instead; the stale answer is what a real blocking read gives.

--- a/src/lease/lease.cpp
+++ b/src/lease/lease.cpp
@@ -70,7 +70,7 @@
   if (out_ == Call::none && step_ != Step::off) {
     if (!session_.empty()) consider(std::max(confirmed_ + timing_.renew_every, next_try_));
     if (session_.empty() ||
-        (step_ == Step::seeking && (!key_seen_ || seen_holder_.empty() || seen_holder_ == session_)))
+        (step_ == Step::seeking && key_seen_ && (seen_holder_.empty() || seen_holder_ == session_)))
       consider(next_try_);
   }
   if (due && (!timer_set_ || *due != timer_)) {
@@ -105,9 +105,11 @@
     out.push_back(Renew{session_});
     return;
   }
-  // Guards against a fleet asking Consul for a lock that is held: only a key seen free (or never seen) is
-  // asked for; one held is waited for on the blocking read.
-  if (step_ == Step::seeking && (!key_seen_ || seen_holder_.empty() || seen_holder_ == session_)) {
+  // Guards against a fleet asking Consul for a lock that is held: only a key read free is asked for; one held
+  // is waited for on the blocking read. The key is read first, as in Consul's lock recipe, so that an answer
+  // from before the acquire is known for one.
+  if (step_ == Step::seeking && key_seen_ && (seen_holder_.empty() || seen_holder_ == session_)) {
+    acquired_after_ = seen_modify_;
     out_ = Call::acquire;
     out.push_back(Acquire{session_});
   }
@@ -126,6 +128,7 @@
   seen_holder_.clear();
   seen_index_ = 0;
   seen_modify_ = 0;
+  acquired_after_ = 0;
   token_ = 0;
 }
 
@@ -203,7 +206,9 @@
   seen_holder_ = seen.holder;
   seen_index_ = seen.lock_index;
   const bool had = step_ == Step::holding || step_ == Step::acting || step_ == Step::lapsed;
-  if (had && (seen.holder != session_ || (step_ == Step::acting && seen.lock_index != token_))) {
+  // An answer no newer than the read before our acquire tells nothing of what came after it.
+  if (had && seen.index > acquired_after_ &&
+      (seen.holder != session_ || (step_ == Step::acting && seen.lock_index != token_))) {
     stop("held by another", Step::seeking, out);
     token_ = 0;
     next_try_ = now;
@@ -240,7 +245,8 @@
   std::ostringstream text;
   text << static_cast<int>(step_) << wanted_ << static_cast<int>(out_) << '|' << session_ << '|'
        << seconds_of(confirmed_ - now) << '|' << ahead(next_try_) << '|' << key_seen_ << seen_holder_ << '|'
-       << seen_index_ << '|' << seen_modify_ << '|' << token_ << '|' << timer_set_ << ahead(timer_);
+       << seen_index_ << '|' << seen_modify_ << '|' << acquired_after_ << '|' << token_ << '|' << timer_set_
+       << ahead(timer_);
   return text.str();
 }
 
--- a/src/lease/lease.hpp
+++ b/src/lease/lease.hpp
@@ -147,6 +147,7 @@
   std::string seen_holder_;  // of the key, as last read
   Token seen_index_ = 0;
   std::uint64_t seen_modify_ = 0;
+  std::uint64_t acquired_after_ = 0;  // the key's ModifyIndex as read before our acquire
   bool key_seen_ = false;
   Token token_ = 0;  // while acting
   bool timer_set_ = false;
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -32,7 +32,9 @@
 Lease holding(const Timing& timing) {
   Lease lease(timing);
   EXPECT_NE(find<CreateSession>(lease.handle(seconds(0), Want{})), nullptr);
-  EXPECT_NE(find<Acquire>(lease.handle(seconds(0), SessionMade{"s1", seconds(0)})), nullptr);
+  EXPECT_EQ(find<Acquire>(lease.handle(seconds(0), SessionMade{"s1", seconds(0)})),
+            nullptr);  // the key first
+  EXPECT_NE(find<Acquire>(lease.handle(seconds(0), KeySeen{"", 0, 1})), nullptr);
   lease.handle(seconds(1), LockAnswer{true, seconds(0)});
   EXPECT_EQ(lease.step(), Lease::Step::holding);
   return lease;
@@ -96,6 +98,14 @@
   EXPECT_NE(find<Acquire>(lease.handle(seconds(3), KeySeen{"", 8, 22})), nullptr);
 }
 
+// Seen in the model's walks: an answer read before the acquire and heard after it named the key free.
+TEST(Lease, KeepsALockThatAnAnswerFromBeforeItsAcquireCallsFree) {
+  Lease lease = holding(short_timing());  // the key was read free at index 1, then acquired
+  lease.handle(seconds(1), KeySeen{"", 0, 1});
+  EXPECT_EQ(lease.step(), Lease::Step::holding);
+  EXPECT_NE(find<Act>(lease.handle(seconds(1), KeySeen{"s1", 7, 2})), nullptr);
+}
+
 TEST(Lease, DropsAnOlderAnswerOfTheBlockingRead) {
   Lease lease = holding(short_timing());
   lease.handle(seconds(1), KeySeen{"s1", 7, 20});
@@ -107,6 +117,7 @@
   Lease lease(short_timing());
   lease.handle(seconds(0), Want{});
   lease.handle(seconds(0), SessionMade{"s1", seconds(0)});
+  lease.handle(seconds(0), KeySeen{"", 0, 1});
   lease.handle(seconds(2), CallFailed{});  // the acquire's answer was lost; Consul took it
   EXPECT_NE(find<Act>(lease.handle(seconds(2), KeySeen{"s1", 3, 9})), nullptr);
 }
@@ -166,13 +177,13 @@
 }
 
 TEST(LeaseModel, FindsAWriteOfAnOldOwnerWhereNothingIsFenced) {
-  LeaseModelBounds b = walks(20000);
+  LeaseModelBounds b = walks(60000);
   b.fence = false;
   EXPECT_EQ(explore(b).broken, "a write was taken from a session that does not hold the lock");
 }
 
 TEST(LeaseModel, FindsALeaseMeasuredFromTheRenewsAnswer) {
-  LeaseModelBounds b = walks(20000);
+  LeaseModelBounds b = walks(60000);
   b.from_answer = true;
   EXPECT_EQ(explore(b).broken, "a lease let its contender act while Consul held the lock otherwise");
 }
