Lease: one name each for holding the lock and a free key; drop what nothing used

Four places in lease.cpp spelled out 'holding, acting or lapsed'. Two spelled out 'the key as read is free or ours'. An Overloaded template was never used. seconds_of returned milliseconds. The header named WatchKey and DestroySession effects that do not exist. In the model, fail() took a World that it did not read, and the write rule tested one condition twice. check_lease printed the trace through two loops.

Change: Lease::has_lock() and Lease::key_free(); milliseconds_of; the header's table names what the caller does. The write rule is one bool, fail() takes no World, and the trace prints through one loop. Behaviour is as it was.

--- a/src/lease/lease.cpp
+++ b/src/lease/lease.cpp
@@ -6,12 +6,7 @@
 namespace fennellane::lease {
 namespace {
 
-template <class... F>
-struct Overloaded : F... {
-  using F::operator()...;
-};
-
-long long seconds_of(Time t) { return std::chrono::duration_cast<std::chrono::milliseconds>(t).count(); }
+long long milliseconds_of(Time t) { return std::chrono::duration_cast<std::chrono::milliseconds>(t).count(); }
 
 }  // namespace
 
@@ -69,9 +64,7 @@
   if (step_ == Step::acting || step_ == Step::holding) consider(acting_ends());
   if (out_ == Call::none && step_ != Step::off) {
     if (!session_.empty()) consider(std::max(confirmed_ + timing_.renew_every, next_try_));
-    if (session_.empty() ||
-        (step_ == Step::seeking && key_seen_ && (seen_holder_.empty() || seen_holder_ == session_)))
-      consider(next_try_);
+    if (session_.empty() || (step_ == Step::seeking && key_free())) consider(next_try_);
   }
   if (due && (!timer_set_ || *due != timer_)) {
     timer_set_ = true;
@@ -87,7 +80,7 @@
       step_ = Step::off;
       return;
     }
-    const bool holds = step_ == Step::holding || step_ == Step::acting || step_ == Step::lapsed;
+    const bool holds = has_lock();
     step_ = Step::releasing;
     out_ = Call::release;
     out.push_back(Release{session_, holds});
@@ -108,7 +101,7 @@
   // Guards against a fleet asking Consul for a lock that is held: only a key read free is asked for; one held
   // is waited for on the blocking read. The key is read first, as in Consul's lock recipe, so that an answer
   // from before the acquire is known for one.
-  if (step_ == Step::seeking && key_seen_ && (seen_holder_.empty() || seen_holder_ == session_)) {
+  if (step_ == Step::seeking && key_free()) {
     acquired_after_ = seen_modify_;
     out_ = Call::acquire;
     out.push_back(Acquire{session_});
@@ -117,7 +110,7 @@
 
 void Lease::stop(const std::string& why, Step next, Effects& out) {
   if (step_ == Step::acting) out.push_back(Stop{why});
-  if (step_ == Step::acting || step_ == Step::holding || step_ == Step::lapsed)
+  if (has_lock())
     out.push_back(Say{"lease: " + why + ", from " + step_name(step_) + " to " + step_name(next)});
   step_ = next;
 }
@@ -136,7 +129,7 @@
 
 void Lease::on(Time, const Unwant&, Effects& out) {
   wanted_ = false;
-  if (step_ == Step::acting || step_ == Step::holding || step_ == Step::lapsed) stop("given up", step_, out);
+  if (has_lock()) stop("given up", step_, out);
   if (step_ == Step::acting) step_ = Step::holding;  // no more acting; released by next_call
 }
 
@@ -205,7 +198,7 @@
   key_seen_ = true;
   seen_holder_ = seen.holder;
   seen_index_ = seen.lock_index;
-  const bool had = step_ == Step::holding || step_ == Step::acting || step_ == Step::lapsed;
+  const bool had = has_lock();
   // An answer no newer than the read before our acquire tells nothing of what came after it.
   if (had && seen.index > acquired_after_ &&
       (seen.holder != session_ || (step_ == Step::acting && seen.lock_index != token_))) {
@@ -241,12 +234,12 @@
 }
 
 std::string Lease::fingerprint(Time now) const {
-  const auto ahead = [now](Time t) { return seconds_of(std::max(t - now, Time::zero())); };
+  const auto ahead = [now](Time t) { return milliseconds_of(std::max(t - now, Time::zero())); };
   std::ostringstream text;
   text << static_cast<int>(step_) << wanted_ << static_cast<int>(out_) << '|' << session_ << '|'
-       << seconds_of(confirmed_ - now) << '|' << ahead(next_try_) << '|' << key_seen_ << seen_holder_ << '|'
-       << seen_index_ << '|' << seen_modify_ << '|' << acquired_after_ << '|' << token_ << '|' << timer_set_
-       << ahead(timer_);
+       << milliseconds_of(confirmed_ - now) << '|' << ahead(next_try_) << '|' << key_seen_ << seen_holder_
+       << '|' << seen_index_ << '|' << seen_modify_ << '|' << acquired_after_ << '|' << token_ << '|'
+       << timer_set_ << ahead(timer_);
   return text.str();
 }
 
--- a/src/lease/lease.hpp
+++ b/src/lease/lease.hpp
@@ -6,8 +6,9 @@
 //   CreateSession (TTL, LockDelay, release) -> PUT /v1/session/create          -> SessionMade | CallFailed
 //   Acquire                                 -> PUT /v1/kv/KEY?acquire=SESSION  -> LockAnswer  | CallFailed
 //   Renew, every `renew_every`              -> PUT /v1/session/renew/SESSION   -> RenewAnswer | CallFailed
-//   WatchKey                                -> GET /v1/kv/KEY?index=N (blocking)  -> KeySeen
-//   Release, then DestroySession            -> PUT ?release=SESSION, PUT /v1/session/destroy/SESSION
+//   (the caller's own blocking read)        -> GET /v1/kv/KEY?index=N           -> KeySeen
+//   Release                                 -> PUT ?release=SESSION, then PUT /v1/session/destroy/SESSION
+//                                                                               -> Done
 //
 // Rules that all else rests on:
 // - The lease is measured on the caller's monotonic clock from the *send* of the newest create or renew that
@@ -136,6 +137,9 @@
   void stop(const std::string& why, Step next, Effects& out);
   void forget_session();
   Time acting_ends() const { return confirmed_ + timing_.ttl - timing_.margin; }
+  bool has_lock() const { return step_ == Step::holding || step_ == Step::acting || step_ == Step::lapsed; }
+  // The key as last read is free, or ours: an acquire may be asked for.
+  bool key_free() const { return key_seen_ && (seen_holder_.empty() || seen_holder_ == session_); }
 
   const Timing timing_;
   Step step_ = Step::off;
--- a/tools/check_lease.cpp
+++ b/tools/check_lease.cpp
@@ -36,11 +36,11 @@
   const double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
   std::printf("%zu states, %zu transitions, %zu checks that let a contender act, %.1f s%s\n", r.states,
               r.transitions, r.acts, seconds, r.whole ? "" : ", not all explored");
-  if (r.broken.empty() && !r.whole) std::printf("the way to the newest state:\n");
-  for (const std::string& step : r.trace)
-    if (r.broken.empty()) std::printf("  %s\n", step.c_str());
-  if (r.broken.empty()) return r.whole ? 0 : 2;
-  std::printf("broken: %s\n", r.broken.c_str());
+  if (!r.broken.empty())
+    std::printf("broken: %s\n", r.broken.c_str());
+  else if (!r.whole)
+    std::printf("the way to the newest state:\n");
   for (const std::string& step : r.trace) std::printf("  %s\n", step.c_str());
-  return 1;
+  if (!r.broken.empty()) return 1;
+  return r.whole ? 0 : 2;
 }
--- a/tools/modelcheck/lease_model.cpp
+++ b/tools/modelcheck/lease_model.cpp
@@ -171,7 +171,7 @@
     queue_.emplace_back(w, it->second);
   }
 
-  void fail(const World&, const std::string& rule, const std::string& step, long parent) {
+  void fail(const std::string& rule, const std::string& step, long parent) {
     if (!result_.broken.empty()) return;
     result_.broken = rule;
     if (walking_) {
@@ -272,15 +272,14 @@
         }
         if (s) s->alive = false;  // destroyed after the release: no lock is held, so no lock-delay
         break;
-      case Kind::write:
-        if (b_.fence && !(s && w.holder == s->id && w.lock_index == m.token))
-          return;  // refused by check-session
-        if (!(s && w.holder == s->id && w.lock_index == m.token))
-          fail(w, "a write was taken from a session that does not hold the lock", step, parent);
-        return;
+      case Kind::write: {
+        const bool holds = s && w.holder == s->id && w.lock_index == m.token;
+        if (!holds && !b_.fence)
+          fail("a write was taken from a session that does not hold the lock", step, parent);
+        return;  // with the fence, one that does not hold is refused by check-session
+      }
       case Kind::call:
-        if (w.last_acting != m.session)
-          fail(w, "a call landed after another session had acted", step, parent);
+        if (w.last_acting != m.session) fail("a call landed after another session had acted", step, parent);
         return;
       default:
         return;
@@ -437,7 +436,7 @@
         "c" + std::to_string(who) + " acts with " + session + ", token " + std::to_string(token);
     ++result_.acts;
     if (w.holder != session || w.lock_index != token) {
-      fail(w, "a lease let its contender act while Consul held the lock otherwise", step, index);
+      fail("a lease let its contender act while Consul held the lock otherwise", step, index);
       return;
     }
     if (c.writes < b_.writes && !c.prepared) {
