Stand-in for Consul: sessions, keys, locks, transactions and TTL checks, tested on their own

Change: ConsulStore, a state machine without threads or clock, written from the public API pages: sessions (TTL with up to twice its slack, lock-delay, behaviours, checks), KV with acquire, release, cas and blocking reads, /v1/txn with check-session, check-index and delete-cas of services and checks, the agent's own services with TTL checks, restarts that keep or lose state. The agent serves it over HTTP and keeps a list of what locks and fenced writes did, for a checker.

--- a/tools/standin/consul_agent.cpp
+++ b/tools/standin/consul_agent.cpp
@@ -30,6 +30,24 @@
          "Content-Length: " + std::to_string(size) + "\r\n\r\n";
 }
 
+std::string status_line(unsigned status) {
+  return std::to_string(status) + (status == 200 ? " OK" : " Not So");
+}
+
+StoreRequest parsed(const std::string& method, const std::string& target, const std::string& body) {
+  StoreRequest r;
+  r.method = method;
+  r.path = target.substr(0, target.find('?'));
+  r.body = body;
+  for (std::size_t at = target.find('?'); at != std::string::npos; at = target.find('&', at + 1)) {
+    const std::string pair = target.substr(at + 1, target.find('&', at + 1) - at - 1);
+    const std::size_t equals = pair.find('=');
+    r.query[pair.substr(0, equals)] =
+        equals == std::string::npos ? "" : percent_decoded(pair.substr(equals + 1));
+  }
+  return r;
+}
+
 }  // namespace
 
 std::string element_json(const std::string& service, const CatalogueHost& h) {
@@ -43,7 +61,8 @@
                        R"("Status":"passing","Output":"Agent alive and reachable","ServiceID":""},)" +
                        R"({"Node":")" + h.node + R"(","CheckID":"service:)" + h.id +
                        R"(","Name":"call","Status":")" + h.status +
-                       R"(","Output":"HTTP GET: {\"up\": [1,2]}","ServiceID":")" + h.id + R"("})";
+                       R"(","Output":"HTTP GET: {\"up\": [1,2]}","ServiceID":")" + h.id +
+                       R"(","CreateIndex":1,"ModifyIndex":)" + std::to_string(h.check_index) + "}";
   if (h.maintenance) {
     checks += R"(,{"Node":")" + h.node + R"(","CheckID":"_service_maintenance:)" + h.id +
               R"(","Name":"Service Maintenance Mode","Status":"critical","ServiceID":")" + h.id + R"("})";
@@ -52,10 +71,14 @@
          h.node_address + R"(","Datacenter":"dc1","Meta":{"rack":"7"}},"Service":{"ID":")" + h.id +
          R"(","Service":")" + service + R"(","Tags":["live"],"Address":")" + h.address + R"(","Meta":{)" +
          meta + R"(},"Port":)" + std::to_string(h.port) + R"(,"Weights":)" + weights +
-         R"(,"EnableTagOverride":false},"Checks":[)" + checks + "]}";
+         R"(,"EnableTagOverride":false,"CreateIndex":1,"ModifyIndex":)" + std::to_string(h.service_index) +
+         R"(},"Checks":[)" + checks + "]}";
 }
 
-ConsulAgent::ConsulAgent() : server_([this](const ThreadedServer::Socket& socket) { serve(socket); }) {}
+ConsulAgent::ConsulAgent(const StoreRules& rules)
+    : store_(rules),
+      clock_([this] { run_clock(); }),
+      server_([this](const ThreadedServer::Socket& socket) { serve(socket); }) {}
 
 ConsulAgent::~ConsulAgent() {
   {
@@ -63,7 +86,19 @@
     stopping_ = true;
   }
   changed_.notify_all();
+  pause_.notify_all();
   server_.stop();
+  clock_.join();
+}
+
+void ConsulAgent::run_clock() {
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    const std::uint64_t before = store_.index();
+    store_.tick(steady_clock::now());
+    if (store_.index() != before) changed_.notify_all();
+    pause_.wait_for(lock, milliseconds(20), [this] { return stopping_; });
+  }
 }
 
 void ConsulAgent::serve(const ThreadedServer::Socket& socket) {
@@ -79,30 +114,109 @@
       if (reader.failed()) return;
       if (!reader.done()) continue;
       const std::string target = reader.target(), token(reader.header("x-consul-token").value_or(""));
-      const bool query = reader.method() == "GET";
+      const std::string method(reader.method());
+      const bool query = method == "GET" && target.starts_with("/v1/health/");
       const std::string body = reader.take_body();
       reader.reset();
+      {
+        const std::scoped_lock lock(mutex_);
+        ++requests_;
+      }
+      if (!query && !target.starts_with("/v1/agent/")) {
+        if (!answer_store(*socket, parsed(method, target, body))) return;
+        continue;
+      }
       if (query) {
         if (!answer_query(*socket, target, token)) return;
         continue;
       }
       bool healthy = false;
+      StoreAnswer answer;
       {
         const std::scoped_lock lock(mutex_);
         puts_.push_back({target, body, token});
         healthy = fault_ == Fault::none;
+        if (healthy) answer = store_.handle(steady_clock::now(), parsed(method, target, body));
       }
-      asio::write(*socket, asio::buffer(head(healthy ? "200 OK" : "500 Internal Server Error", 0)), error);
+      changed_.notify_all();
+      if (!healthy) answer = {500, "", 0};
+      asio::write(*socket, asio::buffer(head(status_line(answer.status), answer.body.size()) + answer.body),
+                  error);
       if (error) return;
     }
   }
 }
 
-std::string ConsulAgent::body_of(const std::string& service) const {
+// A key is waited for until its index is past the one that was seen; one that is ahead of the store (which
+// has lost its state) is waited for to the end of the time, as Consul does.
+bool ConsulAgent::answer_store(tcp::socket& socket, const StoreRequest& request) {
+  const auto number = [&request](const char* name) {
+    const auto it = request.query.find(name);
+    return it == request.query.end() ? 0 : whole_number(it->second, UINT64_MAX).value_or(0);
+  };
+  const std::uint64_t seen = number("index");
+  const auto wait_text = request.query.find("wait");
+  const milliseconds wait =
+      wait_text == request.query.end() ? milliseconds(300000) : duration_of(wait_text->second);
+  StoreAnswer answer;
+  {
+    std::unique_lock lock(mutex_);
+    const auto due = [&] {
+      if (stopping_ || fault_ != Fault::none) return true;
+      answer = store_.handle(steady_clock::now(), request);
+      return request.method != "GET" || !ConsulStore::blocks(request.path) || seen == 0 ||
+             answer.index > seen;
+    };
+    const std::uint64_t life = restarts_;
+    changed_.wait_for(lock, wait, [&] { return restarts_ != life || due(); });
+    if (restarts_ != life) return false;
+    if (fault_ == Fault::silent) changed_.wait(lock, [&] { return stopping_ || fault_ != Fault::silent; });
+    if (stopping_) return false;
+    if (fault_ != Fault::none) answer = {500, "No cluster leader", 0};
+  }
+  if (request.method != "GET") changed_.notify_all();
+  const std::string index = answer.index > 0 ? "X-Consul-Index: " + std::to_string(answer.index) +
+                                                   "\r\nX-Consul-KnownLeader: true\r\n"
+                                             : "";
+  asio::error_code error;
+  asio::write(socket, asio::buffer(head(status_line(answer.status), answer.body.size(), index) + answer.body),
+              error);
+  return !error;
+}
+
+void ConsulAgent::restart(bool keeps_state) {
+  {
+    const std::scoped_lock lock(mutex_);
+    ++restarts_;
+    store_.restart(steady_clock::now(), keeps_state);
+  }
+  changed_.notify_all();
+  server_.close_connections();
+}
+
+void ConsulAgent::set_node_check(const std::string& node, const std::string& check, bool passing) {
+  {
+    const std::scoped_lock lock(mutex_);
+    store_.set_node_check(steady_clock::now(), node, check, passing);
+  }
+  changed_.notify_all();
+}
+
+StoreAnswer ConsulAgent::ask(const StoreRequest& request) {
+  StoreAnswer answer;
+  {
+    const std::scoped_lock lock(mutex_);
+    answer = store_.handle(steady_clock::now(), request);
+  }
+  changed_.notify_all();
+  return answer;
+}
+
+std::string ConsulAgent::body_of(const std::string& service) {
   if (!body_.empty()) return body_;
   std::string body = "[";
-  const auto it = services_.find(service);
-  if (it != services_.end()) {
+  const auto it = store_.services().find(service);
+  if (it != store_.services().end()) {
     for (const auto& [key, host] : it->second.hosts) {
       if (body.size() > 1) body += ',';
       body += element_json(service, host);
@@ -123,13 +237,13 @@
   std::unique_lock lock(mutex_);
   ++queries_;
   const auto due = [&] {
-    return stopping_ || fault_ != Fault::none || seen == 0 || services_[service].index != seen;
+    return stopping_ || fault_ != Fault::none || seen == 0 || store_.services()[service].index != seen;
   };
   changed_.wait_for(lock, wait, due);
   if (fault_ == Fault::silent) changed_.wait(lock, [&] { return stopping_ || fault_ != Fault::silent; });
   if (stopping_) return false;
   const Fault fault = fault_;
-  const std::uint64_t index = services_[service].index;
+  const std::uint64_t index = store_.services()[service].index;
   std::string status = "200 OK", body, headers;
   switch (fault) {
     case Fault::error_500:
@@ -216,9 +330,7 @@
   std::uint64_t index = 0;
   {
     const std::scoped_lock lock(mutex_);
-    Service& s = services_[service];
-    change(s.hosts);
-    index = s.index = ++index_;
+    index = store_.change(service, change);
   }
   changed_.notify_all();
   return index;
@@ -263,8 +375,7 @@
 void ConsulAgent::restart_index(std::uint64_t index) {
   {
     const std::scoped_lock lock(mutex_);
-    index_ = index;
-    for (auto& [name, service] : services_) service.index = index;
+    store_.restart_index(index);
   }
   changed_.notify_all();
 }
@@ -273,7 +384,7 @@
   {
     const std::scoped_lock lock(mutex_);
     body_ = body;
-    for (auto& [name, service] : services_) service.index = ++index_;
+    for (auto& [name, service] : store_.services()) service.index = store_.next_index();
   }
   changed_.notify_all();
 }
@@ -286,6 +397,18 @@
   const std::scoped_lock lock(mutex_);
   return puts_;
 }
+std::size_t ConsulAgent::requests() const {
+  const std::scoped_lock lock(mutex_);
+  return requests_;
+}
+std::size_t ConsulAgent::sessions() const {
+  const std::scoped_lock lock(mutex_);
+  return store_.sessions();
+}
+std::vector<StoreEvent> ConsulAgent::events() const {
+  const std::scoped_lock lock(mutex_);
+  return store_.events();
+}
 std::size_t ConsulAgent::queries() const {
   const std::scoped_lock lock(mutex_);
   return queries_;
--- a/tools/standin/consul_agent.hpp
+++ b/tools/standin/consul_agent.hpp
@@ -1,6 +1,6 @@
 // A stand-in for a Consul agent, written from the public API documentation, for loopback: health of services
-// with blocking queries, registration of a service, and faults by script. Not for use outside tests and
-// measurements.
+// with blocking queries, registration of services, sessions, keys and transactions (see consul_store.hpp),
+// and faults by script. Not for use outside tests and measurements.
 #pragma once
 
 #include <asio/ip/tcp.hpp>
@@ -11,26 +11,14 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
+#include "consul_store.hpp"
 #include "threaded_server.hpp"
 
 namespace fennellane::standin {
 
-using SteadyTime = std::chrono::steady_clock::time_point;
-
-struct CatalogueHost {
-  std::string node = "node-1";
-  std::string id;
-  std::string address = "127.0.0.1";
-  std::string node_address = "127.0.0.1";
-  int port = 0;
-  std::map<std::string, std::string> meta;
-  double passing = 1, warning = 1;
-  std::string status = "passing";
-  bool maintenance = false;
-};
-
 enum class Fault {
   none,
   silent,      // queries are read and not answered
@@ -64,7 +52,7 @@
 
 class ConsulAgent {
  public:
-  ConsulAgent();
+  explicit ConsulAgent(const StoreRules& rules = {});
   ~ConsulAgent();
   ConsulAgent(const ConsulAgent&) = delete;
   ConsulAgent& operator=(const ConsulAgent&) = delete;
@@ -72,7 +60,7 @@
   std::string address() const { return server_.address(); }
 
   // One change of the catalogue: hosts of one service by node and id. All that `change` does is one index.
-  using Hosts = std::map<std::string, CatalogueHost>;
+  using Hosts = ConsulStore::Hosts;
   std::uint64_t change(const std::string& service, const std::function<void(Hosts&)>& change);
   std::uint64_t put(const std::string& service, const CatalogueHost& host);
   std::uint64_t set_status(const std::string& service, const std::string& id, const std::string& status);
@@ -84,32 +72,38 @@
   void restart_index(std::uint64_t index);  // as after a snapshot is restored
   void set_body(const std::string& body);   // of every answer to a service query; empty = the catalogue's
   void close_connections() { server_.close_connections(); }
+  // As a server that was down for a moment: its connections end.
+  void restart(bool keeps_state);
+  void set_node_check(const std::string& node, const std::string& check, bool passing);
 
   std::vector<Served> served() const;
   std::vector<Put> puts() const;
-  std::size_t queries() const;  // read so far
+  std::size_t queries() const;   // on the health of services, read so far
+  std::size_t requests() const;  // of every kind, read so far
+  std::size_t sessions() const;
+  std::vector<StoreEvent> events() const;
+  StoreAnswer ask(const StoreRequest& request);  // without a connection
 
  private:
-  struct Service {
-    std::uint64_t index = 1;
-    Hosts hosts;
-  };
   void serve(const ThreadedServer::Socket& socket);
   bool answer_query(asio::ip::tcp::socket& socket, const std::string& target, const std::string& token);
-  std::string body_of(const std::string& service) const;
+  bool answer_store(asio::ip::tcp::socket& socket, const StoreRequest& request);
+  void run_clock();
+  std::string body_of(const std::string& service);
 
   mutable std::mutex mutex_;
-  std::condition_variable changed_;
-  std::map<std::string, Service> services_;
-  std::uint64_t index_ = 10;
+  std::condition_variable changed_, pause_;
+  ConsulStore store_;
   Fault fault_ = Fault::none;
   bool leader_ = true;
   std::uint64_t last_contact_ms_ = 0;
   std::string body_;
   std::vector<Served> served_;
   std::vector<Put> puts_;
-  std::size_t queries_ = 0;
+  std::size_t queries_ = 0, requests_ = 0;
+  std::uint64_t restarts_ = 0;
   bool stopping_ = false;
+  std::thread clock_;      // ends sessions and checks whose time is over
   ThreadedServer server_;  // last, since its threads use all the others
 };
 
