Lease: no session while another holds the role, tries at a free key spread over time

Need: 300 relays that seek one role would each keep a session and renew it (60 renews a second a role), and all try in the moment that it becomes free. Change: a lease reads the key and makes a session only where it is free, after a random part of `spread`; a session that came too late or lost its lock is destroyed; what is known of the key outlasts the session; an index that went backwards (Consul's state was lost) is taken as a new count. Model: contenders may be killed and start anew; a session destroyed while it holds starts the lock-delay, as Consul's does.

--- a/src/lease/lease.cpp
+++ b/src/lease/lease.cpp
@@ -1,6 +1,7 @@
 #include "lease.hpp"
 
 #include <algorithm>
+#include <random>
 #include <sstream>
 
 namespace fennellane::lease {
@@ -10,9 +11,9 @@
 
 }  // namespace
 
-std::string timing_problem(const Timing& timing) {
-  if (timing.ttl < std::chrono::seconds(10) || timing.ttl > std::chrono::hours(24))
-    return "ttl: Consul takes 10 s to 86,400 s";
+std::string timing_problem(const Timing& timing, Time least_ttl) {
+  if (timing.ttl < least_ttl || timing.ttl > std::chrono::hours(24))
+    return "ttl: Consul takes " + std::to_string(milliseconds_of(least_ttl)) + " ms to 86,400 s";
   if (timing.margin < Time::zero()) return "margin: below zero";
   if (timing.call <= Time::zero() || timing.retry <= Time::zero() || timing.renew_every <= Time::zero())
     return "call, retry and renew_every: above zero";
@@ -29,6 +30,8 @@
   switch (step) {
     case Lease::Step::off:
       return "off";
+    case Lease::Step::waiting:
+      return "waiting";
     case Lease::Step::making:
       return "making";
     case Lease::Step::seeking:
@@ -45,7 +48,7 @@
   return "?";
 }
 
-Lease::Lease(const Timing& timing) : timing_(timing) {}
+Lease::Lease(const Timing& timing, std::uint64_t seed) : timing_(timing), seed_(seed) {}
 
 bool Lease::may_act(Time now) const { return step_ == Step::acting && now < acting_ends(); }
 
@@ -64,7 +67,7 @@
   if (step_ == Step::acting || step_ == Step::holding) consider(acting_ends());
   if (out_ == Call::none && step_ != Step::off) {
     if (!session_.empty()) consider(std::max(confirmed_ + timing_.renew_every, next_try_));
-    if (session_.empty() || (step_ == Step::seeking && key_free())) consider(next_try_);
+    if ((session_.empty() || step_ == Step::seeking) && key_free()) consider(next_try_);
   }
   if (due && (!timer_set_ || *due != timer_)) {
     timer_set_ = true;
@@ -86,6 +89,17 @@
     out.push_back(Release{session_, holds});
     return;
   }
+  // Guards against a lock that is held and sought: this session lost it, or came too late.
+  if (drop_ || (step_ == Step::seeking && key_seen_ && !key_free())) {
+    step_ = Step::releasing;
+    out_ = Call::release;
+    out.push_back(Release{session_, false});
+    return;
+  }
+  if (session_.empty() && !key_free()) {
+    step_ = Step::waiting;
+    return;
+  }
   if (now < next_try_) return;
   if (session_.empty()) {
     step_ = Step::making;
@@ -108,28 +122,35 @@
   }
 }
 
-void Lease::stop(const std::string& why, Step next, Effects& out) {
+void Lease::stop(Event event, const std::string& why, Step next, Effects& out) {
   if (step_ == Step::acting) out.push_back(Stop{why});
-  if (has_lock())
-    out.push_back(Say{"lease: " + why + ", from " + step_name(step_) + " to " + step_name(next)});
+  if (has_lock()) out.push_back(Say{event, why + ", token " + std::to_string(token_)});
   step_ = next;
 }
 
+// What is known of the key stays: it is the key's, not the session's.
 void Lease::forget_session() {
   session_.clear();
-  key_seen_ = false;
-  seen_holder_.clear();
-  seen_index_ = 0;
-  seen_modify_ = 0;
+  drop_ = false;
   acquired_after_ = 0;
   token_ = 0;
 }
 
+// Guards Consul against all that seek a role coming in one moment: each draws its own.
+void Lease::try_later(Time now, Time least) {
+  Time later = now + least;
+  if (timing_.spread > Time::zero()) {
+    std::mt19937_64 random(seed_ + ++draws_);
+    later += Time(std::uniform_int_distribution<Time::rep>(0, timing_.spread.count())(random));
+  }
+  next_try_ = std::max(next_try_, later);
+}
+
 void Lease::on(Time, const Want&, Effects&) { wanted_ = true; }
 
 void Lease::on(Time, const Unwant&, Effects& out) {
   wanted_ = false;
-  if (has_lock()) stop("given up", step_, out);
+  if (has_lock()) stop(Event::given_up, "given up", step_, out);
   if (step_ == Step::acting) step_ = Step::holding;  // no more acting; released by next_call
 }
 
@@ -139,7 +160,7 @@
   confirmed_ = made.sent;
   step_ = Step::seeking;
   next_try_ = now;
-  out.push_back(Say{"lease: session " + made.id + " made"});
+  out.push_back(Say{Event::session, "session " + made.id + " made"});
 }
 
 void Lease::on(Time now, const LockAnswer& answer, Effects& out) {
@@ -147,12 +168,12 @@
   if (step_ != Step::seeking) return;
   if (!answer.held) {
     // Refused: held by another, or within the lock-delay of a holder that is gone.
-    next_try_ = now + timing_.retry;
+    try_later(now, timing_.retry);
     return;
   }
   step_ = Step::holding;
-  out.push_back(Say{"lease: acquired with session " + session_});
-  if (wanted_ && key_seen_ && seen_holder_ == session_ && now < acting_ends()) {
+  out.push_back(Say{Event::acquired, "acquired with session " + session_});
+  if (wanted_ && key_ours() && now < acting_ends()) {
     token_ = seen_index_;
     step_ = Step::acting;
     out.push_back(Act{token_});
@@ -162,19 +183,18 @@
 void Lease::on(Time now, const RenewAnswer& answer, Effects& out) {
   out_ = Call::none;
   if (!answer.alive) {
-    stop("session gone", Step::seeking, out);
-    out.push_back(Say{"lease: session " + session_ + " is gone"});
+    stop(Event::lost, "session " + session_ + " is gone", Step::waiting, out);
     forget_session();
-    next_try_ = now;
+    step_ = Step::waiting;
     return;
   }
   confirmed_ = std::max(confirmed_, answer.sent);
   // The session lived when Consul read this renew; the lock is ours unless the key said otherwise.
-  if (step_ == Step::lapsed && wanted_ && key_seen_ && seen_holder_ == session_ && now < acting_ends()) {
+  if (step_ == Step::lapsed && wanted_ && key_ours() && now < acting_ends()) {
     // The token is the key's as last read: a lapse may have come before the key was first heard.
     token_ = seen_index_;
     step_ = Step::acting;
-    out.push_back(Say{"lease: renewed after a lapse, token " + std::to_string(token_)});
+    out.push_back(Say{Event::resumed, "renewed after a lapse, token " + std::to_string(token_)});
     out.push_back(Act{token_});
   }
 }
@@ -186,25 +206,30 @@
   if (failed == Call::release) {
     // Consul invalidates it at its TTL in any case.
     forget_session();
-    step_ = Step::off;
+    step_ = wanted_ ? Step::waiting : Step::off;
   } else if (failed == Call::renew) {
-    out.push_back(Say{"lease: renew missed"});
+    out.push_back(Say{Event::renew_missed, "renew missed"});
+  } else if (failed == Call::create) {
+    step_ = Step::waiting;
   }
 }
 
 void Lease::on(Time now, const KeySeen& seen, Effects& out) {
-  if (key_seen_ && seen.index < seen_modify_) return;
+  if (key_seen_ && seen.index < seen_modify_ && !seen.afresh) return;
+  if (seen.afresh) acquired_after_ = 0;  // of a count that is over
+  const bool was_free = key_free();
   seen_modify_ = seen.index;
   key_seen_ = true;
   seen_holder_ = seen.holder;
   seen_index_ = seen.lock_index;
+  if (!was_free && key_free()) try_later(now, Time::zero());
   const bool had = has_lock();
   // An answer no newer than the read before our acquire tells nothing of what came after it.
   if (had && seen.index > acquired_after_ &&
       (seen.holder != session_ || (step_ == Step::acting && seen.lock_index != token_))) {
-    stop("held by another", Step::seeking, out);
+    stop(Event::lost, seen.holder.empty() ? "the lock is gone" : "held by another", Step::seeking, out);
     token_ = 0;
-    next_try_ = now;
+    drop_ = true;
     return;
   }
   // Seeking too: an acquire that Consul took but whose answer was lost shows here first.
@@ -221,16 +246,16 @@
 
 void Lease::on(Time now, const Done&, Effects& out) {
   out_ = Call::none;
-  out.push_back(Say{"lease: released, session " + session_ + " destroyed"});
+  out.push_back(Say{Event::session, "session " + session_ + " destroyed"});
   forget_session();
-  step_ = Step::off;
-  next_try_ = now;
+  step_ = wanted_ ? Step::waiting : Step::off;
+  next_try_ = std::max(next_try_, now);
 }
 
 void Lease::on(Time now, const TimeDue&, Effects& out) {
   timer_set_ = false;
   if ((step_ == Step::acting || step_ == Step::holding) && now >= acting_ends())
-    stop("no renew confirmed within ttl - margin", Step::lapsed, out);
+    stop(Event::lapsed, "no renew confirmed within ttl - margin", Step::lapsed, out);
 }
 
 std::string Lease::fingerprint(Time now) const {
@@ -239,7 +264,7 @@
   text << static_cast<int>(step_) << wanted_ << static_cast<int>(out_) << '|' << session_ << '|'
        << milliseconds_of(confirmed_ - now) << '|' << ahead(next_try_) << '|' << key_seen_ << seen_holder_
        << '|' << seen_index_ << '|' << seen_modify_ << '|' << acquired_after_ << '|' << token_ << '|'
-       << timer_set_ << ahead(timer_);
+       << timer_set_ << ahead(timer_) << '|' << draws_ << drop_;
   return text.str();
 }
 
--- a/src/lease/lease.hpp
+++ b/src/lease/lease.hpp
@@ -2,6 +2,10 @@
 // session and a lock key as Consul's own lock recipe does: decisions only, without input, output or clock.
 // See docs/ownership.md.
 //
+// A relay that seeks the role reads the key and has no session while another holds it: three hundred that
+// seek cost Consul a blocking read each, and no renews. Where the key is free each tries after a random part
+// of `spread`, so that the first is soon there and the others see it held.
+//
 //   relay                                   Consul
 //   CreateSession (TTL, LockDelay, release) -> PUT /v1/session/create          -> SessionMade | CallFailed
 //   Acquire                                 -> PUT /v1/kv/KEY?acquire=SESSION  -> LockAnswer  | CallFailed
@@ -40,9 +44,13 @@
   Time lock_delay = std::chrono::seconds(15);  // the session's LockDelay: no new holder for so long
   Time call = std::chrono::seconds(2);         // longest wait for an answer to one call
   Time retry = std::chrono::seconds(1);        // after a failed call or a refused acquire
+  Time spread = std::chrono::seconds(5);       // tries at a free key are spread over so long
+  bool operator==(const Timing&) const = default;
 };
-// Empty where `timing` can't be kept: a renew and its answer must fit before acting ends.
-std::string timing_problem(const Timing& timing);
+constexpr Time kConsulLeastTtl = std::chrono::seconds(10);  // unless its agents set session_ttl_min
+// Empty where `timing` can't be kept: a renew and its answer must fit before acting ends. `least_ttl`:
+// Consul's.
+std::string timing_problem(const Timing& timing, Time least_ttl = kConsulLeastTtl);
 
 // --- What the caller tells
 struct Want {};    // seek the role
@@ -64,6 +72,8 @@
   std::string holder;  // its Session; empty = nobody holds it
   Token lock_index = 0;
   std::uint64_t index = 0;  // its ModifyIndex: an answer older than the last one read is dropped
+  bool afresh =
+      false;  // Consul's index has gone backwards, as after a state that was lost: taken all the same
 };
 struct Done {};     // the release and the destroy were answered, or failed
 struct TimeDue {};  // the timer that SetTimer asked for
@@ -93,7 +103,9 @@
 struct SetTimer {
   Time at{};
 };
+enum class Event : std::uint8_t { session, acquired, renew_missed, lapsed, resumed, lost, given_up };
 struct Say {  // a line for the log
+  Event event{};
   std::string text;
 };
 using Effect = std::variant<CreateSession, Acquire, Renew, Release, Act, Stop, SetTimer, Say>;
@@ -102,6 +114,7 @@
  public:
   enum class Step : std::uint8_t {
     off,        // not wanted; no session
+    waiting,    // wanted; no session while another holds the key, or until it has been read
     making,     // the session is being created
     seeking,    // a session, not the lock
     holding,    // the lock, the token not yet seen
@@ -109,7 +122,8 @@
     lapsed,     // had the lock; no renew was confirmed in time: nothing is done until one is
     releasing,  // given up
   };
-  explicit Lease(const Timing& timing);
+  // `seed` is this relay's own, for the moments of its tries.
+  explicit Lease(const Timing& timing, std::uint64_t seed = 0);
 
   std::vector<Effect> handle(Time now, const Input& input);
 
@@ -118,6 +132,12 @@
   bool may_act(Time now) const;
   std::optional<Token> token() const;
   const std::string& session() const { return session_; }
+  // A call is out whose answer another process would never hear: it is told CallFailed first.
+  bool call_out() const { return out_ != Call::none; }
+  std::optional<Time> timer() const { return timer_set_ ? std::optional<Time>(timer_) : std::nullopt; }
+  // For a process that takes over from this one: all of it, with points in time as they are.
+  template <class Archive>
+  void remember(Archive& archive);
   // All that its next decision rests on, times as offsets from `now`: two leases alike act alike.
   std::string fingerprint(Time now) const;
 
@@ -134,14 +154,18 @@
   void on(Time now, const Done&, Effects& out);
   void on(Time now, const TimeDue&, Effects& out);
   void next_call(Time now, Effects& out);
-  void stop(const std::string& why, Step next, Effects& out);
+  void stop(Event event, const std::string& why, Step next, Effects& out);
+  void try_later(Time now, Time least);
   void forget_session();
   Time acting_ends() const { return confirmed_ + timing_.ttl - timing_.margin; }
   bool has_lock() const { return step_ == Step::holding || step_ == Step::acting || step_ == Step::lapsed; }
+  bool key_ours() const { return key_seen_ && !session_.empty() && seen_holder_ == session_; }
   // The key as last read is free, or ours: an acquire may be asked for.
-  bool key_free() const { return key_seen_ && (seen_holder_.empty() || seen_holder_ == session_); }
+  bool key_free() const { return key_seen_ && (seen_holder_.empty() || key_ours()); }
 
   const Timing timing_;
+  const std::uint64_t seed_;
+  std::uint64_t draws_ = 0;  // of random spans so far
   Step step_ = Step::off;
   bool wanted_ = false;
   Call out_ = Call::none;
@@ -153,7 +177,8 @@
   std::uint64_t seen_modify_ = 0;
   std::uint64_t acquired_after_ = 0;  // the key's ModifyIndex as read before our acquire
   bool key_seen_ = false;
-  Token token_ = 0;  // while acting
+  Token token_ = 0;    // while acting
+  bool drop_ = false;  // the session has lost the lock, and is destroyed next
   bool timer_set_ = false;
   Time timer_{};
 };
--- a/tools/check_lease.cpp
+++ b/tools/check_lease.cpp
@@ -21,6 +21,7 @@
   app.add_option("--losses", b.losses)->check(CLI::Range(0, 9))->capture_default_str();
   app.add_option("--pauses", b.pauses)->check(CLI::Range(0, 9))->capture_default_str();
   app.add_option("--restarts", b.restarts)->check(CLI::Range(0, 9))->capture_default_str();
+  app.add_option("--crashes", b.crashes)->check(CLI::Range(0, 9))->capture_default_str();
   app.add_option("--writes", b.writes)->check(CLI::Range(0, 9))->capture_default_str();
   app.add_option("--calls", b.calls)->check(CLI::Range(0, 9))->capture_default_str();
   app.add_option("--most-states", b.most_states)->capture_default_str();
--- a/tools/modelcheck/lease_model.hpp
+++ b/tools/modelcheck/lease_model.hpp
@@ -18,6 +18,7 @@
   int losses = 1;                                                                 // of a message, either way
   int pauses = 1;            // of a contender, each as long as the horizon allows
   int restarts = 1;          // of Consul, which keeps its state and renews every TTL, as at a leader's change
+  int crashes = 0;           // of a contender, killed and started again with a fresh lease
   int writes = 1;            // fenced writes that each contender tries while it acts
   int calls = 1;             // unfenced calls (to a partner) that each contender sends while it acts
   bool fence = true;         // false: the planted bug, a value that takes any write
