--- /dev/null
+++ b/src/consul/agent_call.cpp
@@ -0,0 +1,42 @@
+#include "agent_call.hpp"
+
+#include <algorithm>
+
+#include "clock.hpp"
+#include "number.hpp"
+
+namespace fennellane {
+
+AgentCall::AgentCall(asio::io_context& io, const ConsulSettings& settings, const Limits& limits,
+                     std::size_t most_body)
+    : settings_(settings), client_(io, settings.agent, limits, most_body) {}
+
+asio::awaitable<AgentAnswer> AgentCall::ask(std::string method, std::string target, std::string body,
+                                            Time limit) {
+  const Time end = steady_now() + limit;
+  const auto left = [end] { return std::max(Time(1), end - steady_now()); };
+  AgentAnswer answer;
+  if (!client_.open()) {
+    const bool connected = co_await client_.connect(left());
+    if (!connected) co_return answer;
+  }
+  std::string text = method + " " + target + " HTTP/1.1\r\nHost: " + settings_.agent.text() + "\r\n";
+  if (!settings_.token.empty()) text += "X-Consul-Token: " + settings_.token + "\r\n";
+  if (method != "GET") text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  text += "\r\n" + body;
+  const bool sent = co_await client_.send(std::move(text), left());
+  bool answered = false;
+  if (sent) answered = co_await client_.read_answer(left());
+  // Guards the next call against an answer to this one that comes after all.
+  if (!answered) {
+    client_.close();
+    co_return answer;
+  }
+  answer.status = client_.answer().status();
+  if (const auto index = client_.answer().header("x-consul-index"))
+    answer.index = whole_number(*index, UINT64_MAX).value_or(0);
+  answer.body = client_.answer().take_body();
+  co_return answer;
+}
+
+}  // namespace fennellane
--- /dev/null
+++ b/src/consul/agent_call.hpp
@@ -0,0 +1,35 @@
+// One connection to the Consul agent for calls that are answered in one piece: kept open between calls, and
+// every call has one span of time for all of it.
+#pragma once
+
+#include <asio/awaitable.hpp>
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <string>
+
+#include "client.hpp"
+#include "consul_settings.hpp"
+
+namespace fennellane {
+
+struct AgentAnswer {
+  unsigned status = 0;      // 0: none came
+  std::uint64_t index = 0;  // X-Consul-Index; 0 = none
+  std::string body;
+};
+
+class AgentCall {
+ public:
+  // `settings` must outlive it; answers of more than `most_body` bytes count as none.
+  AgentCall(asio::io_context& io, const ConsulSettings& settings, const Limits& limits,
+            std::size_t most_body);
+
+  asio::awaitable<AgentAnswer> ask(std::string method, std::string target, std::string body, Time limit);
+  void close() { client_.close(); }
+
+ private:
+  const ConsulSettings& settings_;
+  Client client_;
+};
+
+}  // namespace fennellane
--- /dev/null
+++ b/src/consul/fleet_agent.cpp
@@ -0,0 +1,323 @@
+#include "fleet_agent.hpp"
+
+#include <json/json.h>
+
+#include <algorithm>
+#include <asio/co_spawn.hpp>
+#include <asio/post.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/use_awaitable.hpp>
+#include <sstream>
+#include <utility>
+
+#include "clock.hpp"
+
+namespace fennellane {
+namespace {
+
+std::string ms_text(Time time) { return std::to_string(time.count() / 1000) + "ms"; }
+
+std::string json_text(const Json::Value& value) {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, value);
+}
+
+// Calls `read` with what the text holds; false where it is no JSON or not of the shape that `read` expects.
+template <class Read>
+bool with_json(const std::string& text, Read read) {
+  Json::CharReaderBuilder builder;
+  builder["stackLimit"] = 32;
+  Json::Value value;
+  std::string errors;
+  std::istringstream in(text);
+  try {
+    return Json::parseFromStream(builder, in, &value, &errors) && read(value);
+  } catch (const Json::Exception&) {
+    return false;
+  }
+}
+
+}  // namespace
+
+// Without checks of its node: only its TTL ends it, as the timing argument in docs/ownership.md wants it.
+std::string session_json(const std::string& name, const lease::CreateSession& wanted) {
+  Json::Value body;
+  body["Name"] = name;
+  body["TTL"] = ms_text(wanted.ttl);
+  body["LockDelay"] = ms_text(wanted.lock_delay);
+  body["Behavior"] = "release";
+  body["NodeChecks"] = Json::Value(Json::arrayValue);
+  return json_text(body);
+}
+
+std::string session_id(const std::string& body) {
+  std::string id;
+  with_json(body, [&id](const Json::Value& v) {
+    id = v["ID"].asString();
+    return true;
+  });
+  // Guards the targets it becomes a part of.
+  const bool plain =
+      std::all_of(id.begin(), id.end(), [](unsigned char c) { return std::isalnum(c) != 0 || c == '-'; });
+  return plain && id.size() <= 64 ? id : "";
+}
+
+bool read_key(const std::string& body, lease::KeySeen& seen) {
+  return with_json(body, [&seen](const Json::Value& v) {
+    if (!v.isArray() || v.size() != 1 || !v[0].isObject() || !v[0]["LockIndex"].isUInt64()) return false;
+    seen.holder = v[0].get("Session", "").asString();
+    seen.lock_index = v[0]["LockIndex"].asUInt64();
+    return true;
+  });
+}
+
+bool read_registrations(const std::string& body, std::vector<fleet::Registration>& all) {
+  return with_json(body, [&all](const Json::Value& v) {
+    if (!v.isArray()) return false;
+    for (const Json::Value& each : v) {
+      fleet::Registration r;
+      r.node = each["Node"]["Node"].asString();
+      r.id = each["Service"]["ID"].asString();
+      r.service_index = each["Service"]["ModifyIndex"].asUInt64();
+      for (const Json::Value& check : each["Checks"]) {
+        // Its own check; the node's is another matter.
+        if (check["ServiceID"].asString() != r.id || !r.check.empty()) continue;
+        r.check = check["CheckID"].asString();
+        r.check_index = check["ModifyIndex"].asUInt64();
+        r.critical = check["Status"].asString() == "critical";
+      }
+      all.push_back(std::move(r));
+    }
+    return true;
+  });
+}
+
+std::string removal_json(const std::string& key, const fleet::RemoveRegistrations& removal) {
+  Json::Value operations(Json::arrayValue);
+  Json::Value held;
+  held["KV"]["Verb"] = "check-session";
+  held["KV"]["Key"] = key;
+  held["KV"]["Session"] = removal.session;
+  operations.append(held);
+  for (const fleet::Registration& r : removal.which) {
+    Json::Value check;
+    check["Check"]["Verb"] = "delete-cas";
+    check["Check"]["Check"]["Node"] = r.node;
+    check["Check"]["Check"]["CheckID"] = r.check;
+    check["Check"]["Check"]["ServiceID"] = r.id;
+    check["Check"]["Check"]["ModifyIndex"] = Json::UInt64(r.check_index);
+    operations.append(check);
+    Json::Value service;
+    service["Service"]["Verb"] = "delete-cas";
+    service["Service"]["Node"] = r.node;
+    service["Service"]["Service"]["ID"] = r.id;
+    service["Service"]["Service"]["ModifyIndex"] = Json::UInt64(r.service_index);
+    operations.append(service);
+  }
+  return json_text(operations);
+}
+
+FleetAgent::FleetAgent(asio::io_context& io, const ConsulSettings& consul, const FleetSettings& settings,
+                       const std::string& relay, const Limits& limits, Counters& counters, Log& log,
+                       Tell tell)
+    : io_(io),
+      consul_(consul),
+      settings_(settings),
+      relay_(relay),
+      limits_(limits),
+      counters_(counters),
+      log_(log),
+      tell_(std::move(tell)),
+      work_(io, consul_, limits, limits.fleet_answer),
+      work_due_(io) {
+  for (const std::string& role : settings_.roles)
+    roles_.push_back(std::make_unique<Role>(io, consul_, limits, role, role_key(settings_, role)));
+}
+
+void FleetAgent::start() {
+  for (std::uint32_t i = 0; i < roles_.size(); ++i) {
+    spawn([this, i] { return watch(i); });
+  }
+}
+
+void FleetAgent::stop() {
+  stopped_ = true;
+  for (const auto& role : roles_) {
+    role->reads.close();
+    role->pause.cancel();
+    role->due.cancel();
+  }
+  work_due_.cancel();
+}
+
+void FleetAgent::carry(const fleet::Effect& effect) {
+  std::visit([this](const auto& e) { on(e); }, effect);
+}
+
+template <class Run>
+void FleetAgent::spawn(Run run) {
+  // The lambda is the coroutine's own, and keeps this object until it has returned.
+  asio::co_spawn(
+      io_, [self = shared_from_this(), run]() -> asio::awaitable<void> { co_await run(); }, rethrow);
+}
+
+// In a turn of its own: an answer may be there before the effects of this input have been carried out.
+void FleetAgent::hear(std::uint32_t role, lease::Input input) {
+  asio::post(io_, [self = shared_from_this(), role, heard = std::move(input)]() mutable {
+    self->tell_(fleet::LeaseHeard{role, std::move(heard)});
+  });
+}
+
+void FleetAgent::set(asio::steady_timer& timer, Time at, std::function<fleet::Input()> due) {
+  timer.expires_at(steady_moment(at));
+  timer.async_wait([weak = weak_from_this(), what = std::move(due)](asio::error_code error) {
+    const auto self = weak.lock();
+    if (!error && self && !self->stopped_) self->tell_(what());
+  });
+}
+
+// --- The lease
+void FleetAgent::on(const fleet::LeaseDo& e) {
+  std::visit([this, &e](const auto& effect) { carry(e.role, effect); }, e.effect);
+}
+
+void FleetAgent::carry(std::uint32_t role, const lease::CreateSession& e) {
+  ++counters_.lease_calls;
+  spawn([this, role, e]() -> asio::awaitable<void> {
+    Role& r = *roles_[role];
+    const Time sent = steady_now();
+    const AgentAnswer answer = co_await r.calls.ask(
+        "PUT", "/v1/session/create", session_json(relay_ + " " + r.name, e), settings_.timing.call);
+    const std::string id = answer.status == 200 ? session_id(answer.body) : "";
+    if (id.empty()) {
+      hear(role, lease::CallFailed{});
+    } else {
+      hear(role, lease::SessionMade{id, sent});
+    }
+  });
+}
+
+void FleetAgent::carry(std::uint32_t role, const lease::Acquire& e) {
+  ++counters_.lease_calls;
+  spawn([this, role, session = e.session]() -> asio::awaitable<void> {
+    Role& r = *roles_[role];
+    const Time sent = steady_now();
+    const AgentAnswer answer =
+        co_await r.calls.ask("PUT", "/v1/kv/" + r.key + "?acquire=" + session, relay_, settings_.timing.call);
+    if (answer.status != 200) {
+      hear(role, lease::CallFailed{});
+    } else {
+      hear(role, lease::LockAnswer{answer.body.starts_with("true"), sent});
+    }
+  });
+}
+
+void FleetAgent::carry(std::uint32_t role, const lease::Renew& e) {
+  ++counters_.lease_calls;
+  spawn([this, role, session = e.session]() -> asio::awaitable<void> {
+    const Time sent = steady_now();
+    const AgentAnswer answer =
+        co_await roles_[role]->calls.ask("PUT", "/v1/session/renew/" + session, "", settings_.timing.call);
+    if (answer.status == 200 || answer.status == 404) {
+      hear(role, lease::RenewAnswer{answer.status == 200, sent});
+    } else {
+      hear(role, lease::CallFailed{});
+    }
+  });
+}
+
+void FleetAgent::carry(std::uint32_t role, const lease::Release& e) {
+  ++counters_.lease_calls;
+  spawn([this, role, e]() -> asio::awaitable<void> {
+    Role& r = *roles_[role];
+    // Released first: a session that is destroyed while it holds starts the lock-delay.
+    if (e.holds)
+      co_await r.calls.ask("PUT", "/v1/kv/" + r.key + "?release=" + e.session, relay_, settings_.timing.call);
+    co_await r.calls.ask("PUT", "/v1/session/destroy/" + e.session, "", settings_.timing.call);
+    hear(role, lease::Done{});
+  });
+}
+
+void FleetAgent::carry(std::uint32_t role, const lease::Act& e) {
+  log_("lease", roles_[role]->name + ": acts, token " + std::to_string(e.token));
+}
+void FleetAgent::carry(std::uint32_t role, const lease::Stop& e) {
+  log_("lease", roles_[role]->name + ": acts no more: " + e.why);
+}
+void FleetAgent::carry(std::uint32_t role, const lease::Say& e) {
+  log_("lease", roles_[role]->name + ": " + e.text);
+}
+void FleetAgent::carry(std::uint32_t role, const lease::SetTimer& e) {
+  set(roles_[role]->due, e.at, [role] { return fleet::Input(fleet::LeaseHeard{role, lease::TimeDue{}}); });
+}
+
+// The blocking read of a role's key. After any trouble it begins without an index, and from the leader.
+asio::awaitable<void> FleetAgent::watch(std::uint32_t role) {
+  Role& r = *roles_[role];
+  std::uint64_t index = 0, newest = 0;
+  Time backoff = limits_.backoff_least;
+  while (!stopped_) {
+    const bool waits = index > 0;
+    const std::string query = waits ? "?index=" + std::to_string(index) + "&wait=" + ms_text(settings_.wait)
+                                    : std::string("?consistent");
+    // An agent adds up to a 16th to the time it was asked to wait.
+    const Time limit = settings_.timing.call + (waits ? settings_.wait + settings_.wait / 16 : Time(0));
+    ++counters_.lease_reads;
+    const AgentAnswer answer = co_await r.reads.ask("GET", "/v1/kv/" + r.key + query, "", limit);
+    if (stopped_) break;
+    lease::KeySeen seen;
+    const bool good =
+        answer.index > 0 && (answer.status == 404 || (answer.status == 200 && read_key(answer.body, seen)));
+    if (!good) {
+      index = 0;
+      r.reads.close();
+      r.pause.expires_after(backoff);
+      asio::error_code cut_short;
+      co_await r.pause.async_wait(asio::redirect_error(asio::use_awaitable, cut_short));
+      backoff = std::min(backoff * 2, limits_.backoff_most);
+      continue;
+    }
+    backoff = limits_.backoff_least;
+    // An index that goes backwards is asked for once more, from the leader, before it is believed.
+    if (waits && answer.index < index) {
+      index = 0;
+      continue;
+    }
+    seen.index = answer.index;
+    seen.afresh = answer.index < newest;
+    index = newest = answer.index;
+    hear(role, std::move(seen));
+  }
+  r.reads.close();
+}
+
+// --- The sweep
+void FleetAgent::on(const fleet::SetWorkTimer& e) {
+  set(work_due_, e.at, [] { return fleet::Input(fleet::WorkDue{}); });
+}
+
+void FleetAgent::on(const fleet::ReadRegistrations& e) {
+  spawn([this, token = e.token]() -> asio::awaitable<void> {
+    const AgentAnswer answer = co_await work_.ask(
+        "GET", "/v1/health/service/" + settings_.sweep.service + "?consistent", "", consul_.answer);
+    fleet::RegistrationsRead read{token, false, {}};
+    read.good = answer.status == 200 && read_registrations(answer.body, read.all);
+    if (!read.good) read.all.clear();
+    asio::post(io_, [self = shared_from_this(), read = std::move(read)] { self->tell_(read); });
+  });
+}
+
+void FleetAgent::on(const fleet::RemoveRegistrations& e) {
+  spawn([this, e]() -> asio::awaitable<void> {
+    const std::string key = role_key(settings_, fleet::kSweepRole);
+    const AgentAnswer answer =
+        co_await work_.ask("PUT", "/v1/txn", removal_json(key, e), settings_.timing.call);
+    using How = fleet::RegistrationsRemoved::How;
+    const How how = answer.status == 200 ? How::taken : answer.status == 409 ? How::refused : How::failed;
+    const fleet::RegistrationsRemoved removed{e.token, how};
+    asio::post(io_, [self = shared_from_this(), removed] { self->tell_(removed); });
+  });
+}
+
+}  // namespace fennellane
--- /dev/null
+++ b/src/consul/owners.cpp
@@ -0,0 +1,82 @@
+#include "owners.hpp"
+
+#include <json/json.h>
+
+#include <asio/co_spawn.hpp>
+#include <iomanip>
+#include <sstream>
+
+#include "agent_call.hpp"
+
+namespace fennellane {
+namespace {
+
+Json::Value read(const std::string& text) {
+  Json::CharReaderBuilder builder;
+  Json::Value value;
+  std::string errors;
+  std::istringstream in(text);
+  if (!Json::parseFromStream(builder, in, &value, &errors)) return {};
+  return value;
+}
+
+// A session's name is "RELAY ROLE".
+std::string relay_of(const AgentAnswer& info) {
+  const Json::Value list = read(info.body);
+  if (info.status != 200 || !list.isArray() || list.empty()) return "?";
+  const std::string name = list[0].get("Name", "?").asString();
+  return name.substr(0, name.rfind(' '));
+}
+
+asio::awaitable<void> ask(AgentCall& call, const FleetSettings& settings, std::ostream& out,
+                          std::string& trouble) {
+  const std::string below = settings.prefix + "/role/";
+  const AgentAnswer keys =
+      co_await call.ask("GET", "/v1/kv/" + below + "?recurse&consistent", "", settings.timing.call);
+  if (keys.status == 404) {
+    trouble = "no role has ever been held below " + below;
+    co_return;
+  }
+  const Json::Value list = read(keys.body);
+  if (keys.status != 200 || !list.isArray()) {
+    trouble = "Consul has not answered, status " + std::to_string(keys.status);
+    co_return;
+  }
+  for (const Json::Value& key : list) {
+    const std::string role =
+        key["Key"].asString().substr(std::min(below.size(), key["Key"].asString().size()));
+    const std::string session = key.get("Session", "").asString();
+    out << std::left << std::setw(16) << role << " ";
+    if (session.empty()) {
+      out << "nobody\n";
+      continue;
+    }
+    const AgentAnswer info =
+        co_await call.ask("GET", "/v1/session/info/" + session, "", settings.timing.call);
+    out << std::setw(20) << relay_of(info) << " token " << key["LockIndex"].asUInt64() << " session "
+        << session << "\n";
+  }
+}
+
+}  // namespace
+
+bool print_owners(const ConsulSettings& consul, const FleetSettings& settings, const Limits& limits,
+                  std::ostream& out, std::string& trouble) {
+  asio::io_context io(1);
+  AgentCall call(io, consul, limits, limits.fleet_answer);
+  asio::co_spawn(
+      io,
+      [&]() -> asio::awaitable<void> {
+        co_await ask(call, settings, out, trouble);
+        call.close();
+      },
+      rethrow);
+  try {
+    io.run();
+  } catch (const Json::Exception& e) {
+    trouble = std::string("an answer of another shape: ") + e.what();
+  }
+  return trouble.empty();
+}
+
+}  // namespace fennellane
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -4,7 +4,7 @@
 
 namespace fennellane {
 
-std::string counters_text(const Counters& c, const JournalFigures& j) {
+std::string counters_text(const Counters& c, const JournalFigures& j, const fleet::Counts* f) {
   constexpr std::array<std::string_view, kOutcomes> names = {
       "error", "delivered", "full", "timeout", "connect_failed", "reset", "cancelled", "not_sent"};
   std::string text = "counters";
@@ -41,6 +41,17 @@
   add("consul.rejected", c.consul_rejected);
   add("consul.saves", c.consul_saves);
   add("consul.beats", c.consul_beats);
+  if (f != nullptr) {
+    add("lease.calls", c.lease_calls);
+    add("lease.reads", c.lease_reads);
+    add("lease.acquired", f->acquired);
+    add("lease.renews_missed", f->renews_missed);
+    add("lease.lapsed", f->lapsed);
+    add("lease.lost", f->lost);
+    add("lease.given_up", f->given_up);
+    add("sweep.removed", f->swept);
+    add("sweep.refused", f->sweeps_refused);
+  }
   add("journal.held", j.held);
   add("journal.bytes", j.bytes);
   add("journal.records", j.records);
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <string>
 
+#include "roles.hpp"
+
 namespace fennellane {
 
 constexpr std::size_t kOutcomes = 8;  // of starlinghook::Outcome
@@ -42,13 +44,18 @@
   std::uint64_t consul_rejected = 0;  // of these, for what was in the answer
   std::uint64_t consul_saves = 0;     // times that the list was kept
   std::uint64_t consul_beats = 0;     // of the relay's own check
-  std::uint64_t unnoticed = 0;        // undelivered ends that only the log has heard of
+  // Roles of the fleet: what this process asked of Consul; the rest is counted by fleet::Fleet.
+  std::uint64_t lease_calls = 0;  // creates, acquires, renews and releases
+  std::uint64_t lease_reads = 0;  // blocking reads of roles' keys
+  std::uint64_t unnoticed = 0;    // undelivered ends that only the log has heard of
 };
 
 struct JournalFigures {
   std::uint64_t bytes = 0, records = 0, compactions = 0, held = 0;
 };
 
-std::string counters_text(const Counters& counters, const JournalFigures& journal);
+// `fleet`: null where no role is sought.
+std::string counters_text(const Counters& counters, const JournalFigures& journal,
+                          const fleet::Counts* fleet = nullptr);
 
 }  // namespace fennellane
--- a/src/core/limits.hpp
+++ b/src/core/limits.hpp
@@ -24,6 +24,7 @@
   std::uint64_t list_file = 0;     // the list kept for a start without its source; two while it is written
   std::size_t consul_answer = 32 * 1024 * 1024;  // one answer, read piece by piece
   std::size_t consul_host = 64 * 1024;           // one host's part of it
+  std::size_t fleet_answer = 8 * 1024 * 1024;    // the relays' own registrations, or all roles' keys
 
   // Counts.
   std::size_t downstream_connections = 0;
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -232,6 +232,18 @@
 
 void Reducer::on(const StopAsked& s) { decide(starlinghook::Stopping{s.last_call}); }
 
+// A process that took over goes on with the leases as they stood, where its roles are the same.
+void Reducer::on(const FleetPlanned& f) {
+  fleet_.emplace(f.plan);
+  if (!load_fleet()) return;
+  for (fleet::Effect& e : fleet_->resume(now_)) effect(FleetDo{std::move(e)});
+}
+
+void Reducer::on(const FleetHeard& f) {
+  if (!fleet_) return;
+  for (fleet::Effect& e : fleet_->handle(now_, f.input)) effect(FleetDo{std::move(e)});
+}
+
 // --- Actions
 void Reducer::carry(const starlinghook::Send& a) {
   Stream& stream = streams_.at(a.id);
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -19,6 +19,7 @@
 #include "counters.hpp"
 #include "door.hpp"
 #include "limits.hpp"
+#include "roles.hpp"
 #include "stream.hpp"
 
 namespace fennellane {
@@ -67,8 +68,14 @@
 struct StopAsked {
   Time last_call{};  // no call may last longer
 };
-using Input =
-    std::variant<Started, Offered, Restored, CallEnded, ClusterChanged, NoticeTaken, TimerDue, StopAsked>;
+struct FleetPlanned {  // which roles of the fleet this relay may hold; at most once
+  fleet::Plan plan;
+};
+struct FleetHeard {
+  fleet::Input input;
+};
+using Input = std::variant<Started, Offered, Restored, CallEnded, ClusterChanged, NoticeTaken, TimerDue,
+                           StopAsked, FleetPlanned, FleetHeard>;
 
 // --- Effects
 struct RecordTaken {
@@ -137,9 +144,12 @@
 struct Say {
   std::string text;
 };
+struct FleetDo {
+  fleet::Effect effect;
+};
 using Effect =
     std::variant<RecordTaken, RecordAttempt, RecordOutcome, RecordGivenUp, RecordEnded, Answer, StartCall,
-                 CancelCall, HoldBack, CloseIdle, RetireHost, PostNotice, SetTimer, Say>;
+                 CancelCall, HoldBack, CloseIdle, RetireHost, PostNotice, SetTimer, Say, FleetDo>;
 
 class Reducer {
  public:
@@ -157,6 +167,9 @@
   void load(const starlinghook::Settings& settings, std::string_view bytes, const BodyOf& body_of);
   Time next_timer() const { return timer_; }  // the one that SetTimer asked for last, or Time::max()
 
+  // Null where no role of the fleet is sought.
+  const fleet::Fleet* fleet() const { return fleet_ ? &*fleet_ : nullptr; }
+
   std::size_t streams() const { return streams_.size(); }
   std::size_t hosts() const { return cluster_.size(); }
   // All that is remembered of streams, hosts and ids, the module's part included.
@@ -178,6 +191,8 @@
   };
   template <class Archive>
   void remember(Archive& archive);
+  std::string save_fleet();
+  bool load_fleet();
 
   void on(const Started&);
   void on(const Offered&);
@@ -187,6 +202,8 @@
   void on(const NoticeTaken&);
   void on(const TimerDue&);
   void on(const StopAsked&);
+  void on(const FleetPlanned&);
+  void on(const FleetHeard&);
 
   void decide(const starlinghook::Event& event);
   void carry(const starlinghook::Send& action);
@@ -239,6 +256,8 @@
   std::vector<bool> destinations_;  // those that discovery has ever named
   bool listed_ = false;             // discovery has told a whole list in this life
   Time timer_ = Time::max();
+  std::optional<fleet::Fleet> fleet_;
+  std::string fleet_memory_;  // of the process before this one, until the plan is known
 };
 
 }  // namespace fennellane
--- /dev/null
+++ b/src/fleet/fleet_memory.hpp
@@ -0,0 +1,16 @@
+// The fleet's part of the reducer's memory. What the sweep has seen is not in it: its time begins anew.
+#pragma once
+
+#include "lease_memory.hpp"
+#include "roles.hpp"
+
+namespace fennellane::fleet {
+
+template <class Archive>
+void Fleet::remember(Archive& archive) {
+  for (lease::Lease& lease : leases_) lease.remember(archive);
+  archive(counts_.acquired, counts_.renews_missed, counts_.lapsed, counts_.lost, counts_.given_up,
+          counts_.swept, counts_.sweeps_refused);
+}
+
+}  // namespace fennellane::fleet
--- a/src/lease/lease.hpp
+++ b/src/lease/lease.hpp
@@ -163,8 +163,8 @@
   // The key as last read is free, or ours: an acquire may be asked for.
   bool key_free() const { return key_seen_ && (seen_holder_.empty() || key_ours()); }
 
-  const Timing timing_;
-  const std::uint64_t seed_;
+  Timing timing_;
+  std::uint64_t seed_;
   std::uint64_t draws_ = 0;  // of random spans so far
   Step step_ = Step::off;
   bool wanted_ = false;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,6 +16,7 @@
 #include "fleet.hpp"
 #include "legend.hpp"
 #include "new_process.hpp"
+#include "owners.hpp"
 #include "relay.hpp"
 #include "report.hpp"
 #include "watch.hpp"
@@ -131,6 +132,20 @@
   }
 }
 
+int owners(const std::string& config_path, const std::string& settings_path) {
+  try {
+    const fennellane::Config config = fennellane::read_config(config_path, settings_path);
+    if (!config.fleet) throw fennellane::ConfigError("the settings have no section fleet");
+    std::string trouble;
+    if (fennellane::print_owners(*config.consul, *config.fleet, config.limits, std::cout, trouble)) return 0;
+    std::fprintf(stderr, "fennellane: %s\n", trouble.c_str());
+    return 1;
+  } catch (const fennellane::ConfigError& e) {
+    std::fprintf(stderr, "fennellane: %s\n", e.what());
+    return kBadConfig;
+  }
+}
+
 struct WhyQuestion {
   std::string id, file, ended;
   std::size_t seconds = 60, most = 20;
@@ -198,6 +213,9 @@
   CLI::App* check_command =
       app.add_subcommand("check-config", "read the configuration and say what it holds");
   add_config(check_command);
+  CLI::App* owners_command =
+      app.add_subcommand("owners", "ask Consul which relay holds which role of the fleet");
+  add_config(owners_command);
   CLI::App* upgrade_command =
       app.add_subcommand("upgrade", "let a new process take over from the one that serves");
   upgrade_command->add_option("--state", state, "the folder of the relay that serves")
@@ -237,6 +255,7 @@
     }
     if (fleet_command->parsed()) return count_fleet(records, destinations);
     if (why_command->parsed()) return why(state, question);
+    if (owners_command->parsed()) return owners(config, settings);
     if (upgrade_command->parsed()) {
       return fennellane::upgrade::ask_for_upgrade(state, std::chrono::seconds(wait_s));
     }
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -71,6 +71,7 @@
   input(Started{});
   if (!config_.known.hosts.empty()) take_list(config_.known, config_.source != MembershipSource::list);
   restore();
+  join_fleet();
   // A list saved by an earlier life may be old, but is a list: during an outage of discovery it is the only
   // one.
   if (!config_.known.hosts.empty()) set_ready();
@@ -136,6 +137,22 @@
 }
 void Relay::carry(Say& e) { log_("module", e.text); }
 
+void Relay::carry(FleetDo& e) { fleet_->carry(e.effect); }
+
+// What this relay may do on behalf of the whole fleet: sought once it is ready, given up when it stops.
+void Relay::join_fleet() {
+  if (!config_.fleet) return;
+  const FleetSettings& wanted = *config_.fleet;
+  fleet_ =
+      std::make_shared<FleetAgent>(io_, *config_.consul, wanted, config_.name, config_.limits, counters_,
+                                   log_, [this](fleet::Input heard) { input(FleetHeard{std::move(heard)}); });
+  fleet::Plan plan{wanted.roles, wanted.timing, std::nullopt, config_.seed};
+  if (!wanted.sweep.service.empty()) plan.sweep = wanted.sweep;
+  input(FleetPlanned{std::move(plan)});
+  fleet_->start();
+  if (ready_) input(FleetHeard{fleet::Seek{}});
+}
+
 void Relay::on_signal(int number) {
   if (number == SIGUSR1) return print_counters();
   if (number == SIGHUP) return reload();
@@ -152,6 +169,7 @@
   if (!std::exchange(ready_, true)) record_.note(record::Kind::ready, 0, 0);
   downstream_.set_ready();
   if (consul_) consul_->set_ready();
+  if (fleet_) input(FleetHeard{fleet::Seek{}});
 }
 
 void Relay::take_list(HostList list, bool cached) {
@@ -230,6 +248,7 @@
   input(StopAsked{steady_now() + limits.stop_total - limits.stop_margin});
   downstream_.send_away();
   if (consul_) consul_->leave();
+  if (fleet_) input(FleetHeard{fleet::Resign{}});
   stop_timer_.expires_after(limits.stop_idle);
   stop_timer_.async_wait([this, &limits](asio::error_code error) {
     if (error) return;
@@ -281,7 +300,8 @@
 
 void Relay::print_counters() {
   log_.report(counters_text(
-      counters_, {journal_.size(), journal_.records(), journal_.compactions(), journal_.held().size()}));
+      counters_, {journal_.size(), journal_.records(), journal_.compactions(), journal_.held().size()},
+      reducer_.fleet() ? &reducer_.fleet()->counts() : nullptr));
 }
 
 }  // namespace fennellane
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -16,6 +16,7 @@
 #include "counters.hpp"
 #include "discovery.hpp"
 #include "downstream.hpp"
+#include "fleet_agent.hpp"
 #include "journal.hpp"
 #include "log.hpp"
 #include "loop_watch.hpp"
@@ -84,6 +85,8 @@
   void carry(PostNotice& e);
   void carry(SetTimer& e);
   void carry(Say& e);
+  void carry(FleetDo& e);
+  void join_fleet();
 
   void restore();
   void on_signal(int number);
@@ -112,6 +115,7 @@
   Notices notices_;
   std::shared_ptr<Discovery> discovery_;  // at most one of these two is there
   std::shared_ptr<ConsulSource> consul_;
+  std::shared_ptr<FleetAgent> fleet_;  // null: no role of the fleet is sought
   Downstream downstream_;
   LoopWatch loop_watch_;
   asio::steady_timer timer_;  // the module's
--- a/src/relay/relay_upgrade.cpp
+++ b/src/relay/relay_upgrade.cpp
@@ -91,6 +91,7 @@
   }
   if (!unheard_.empty()) asio::post(io_, [this] { end_unheard(); });
   if (config_.platform) notices_.start();
+  join_fleet();
   take_source(config_);
   inherited_watch_.clear();
   log_("upgrade", "serves after " + ms_text(pause) + ", with " + std::to_string(journal_.held().size()) +
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -207,6 +207,7 @@
   compare(running.settings == wanted.settings, "settings");
   compare(running.upgrade == wanted.upgrade, "upgrade");
   compare(running.record == wanted.record, "record");
+  compare(running.fleet == wanted.fleet, "fleet");
   return parts;
 }
 
--- a/src/settings/config.hpp
+++ b/src/settings/config.hpp
@@ -9,6 +9,7 @@
 
 #include "cluster.hpp"
 #include "consul_settings.hpp"
+#include "fleet_settings.hpp"
 #include "limits.hpp"
 #include "log_settings.hpp"
 #include "record_settings.hpp"
@@ -34,6 +35,7 @@
   std::optional<ConsulSettings> consul;
   LogSettings log;
   std::optional<UpgradeSettings> upgrade;  // none: upgrades are off
+  std::optional<FleetSettings> fleet;      // none: no role of the fleet is sought; with it, `consul` is there
   std::optional<RecordSettings> record;    // none: no flight record
   bool keeps_list = false;  // a settings file is there, so a list may have to be kept on the disk
   std::uint64_t seed = 0;
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -218,6 +218,37 @@
   return c;
 }
 
+FleetSettings read_fleet(const File& file, const Config& config) {
+  const Json::Value& in = file.value()["fleet"];
+  if (!config.consul) file.fail("fleet", "needs a section consul, for its address");
+  FleetSettings f;
+  f.prefix = text_of(in, "prefix", f.prefix);
+  for (const Json::Value& role : in["roles"]) {
+    if (std::count(f.roles.begin(), f.roles.end(), role.asString()) > 0)
+      file.fail("fleet.roles", "is named twice: " + role.asString());
+    f.roles.push_back(role.asString());
+  }
+  lease::Timing& t = f.timing;
+  t.ttl = ms_of(in, "ttl-ms", t.ttl);
+  t.renew_every = ms_of(in, "renew-ms", t.renew_every);
+  t.margin = ms_of(in, "margin-ms", t.margin);
+  t.lock_delay = ms_of(in, "lock-delay-ms", t.lock_delay);
+  t.call = ms_of(in, "call-ms", t.call);
+  t.retry = ms_of(in, "retry-ms", t.retry);
+  t.spread = ms_of(in, "spread-ms", t.spread);
+  f.wait = ms_of(in, "wait-ms", f.wait);
+  const std::string wrong = timing_problem(t, ms_of(in, "consul-least-ttl-ms", lease::kConsulLeastTtl));
+  if (!wrong.empty()) file.fail("fleet", "its times cannot be kept: " + wrong);
+  const Json::Value& sweep = in["sweep"];
+  f.sweep.service =
+      text_of(sweep, "service", config.consul->registration ? config.consul->registration->service : "");
+  f.sweep.every = ms_of(sweep, "every-ms", f.sweep.every);
+  f.sweep.stale_after = ms_of(sweep, "stale-after-ms", f.sweep.stale_after);
+  if (f.sweep.service.empty() && std::count(f.roles.begin(), f.roles.end(), fleet::kSweepRole) > 0)
+    file.fail("fleet.sweep.service", "is needed where the relay is not registered itself");
+  return f;
+}
+
 }  // namespace
 
 const Json::Value& settings_schema() {
@@ -285,6 +316,9 @@
     config.known = {};
   }
   if (in.isMember("consul")) config.consul = read_consul(file, config);
+  if (config.source == MembershipSource::consul && config.consul->services.empty())
+    file.fail("consul.service", "at least one is needed for membership consul");
+  if (in.isMember("fleet")) config.fleet = read_fleet(file, config);
   config.keeps_list = true;
   fill_limits(config);
   return config;
--- /dev/null
+++ b/tests/ownership_test.cpp
@@ -0,0 +1,326 @@
+// One owner at a time, with several relays as processes, a Consul, a partner, and faults between them. Times
+// are the lease's own, scaled down; what is waited for is waited for long.
+#include <gtest/gtest.h>
+
+#include <cstdio>
+
+#include "command.hpp"
+#include "fleet_agent.hpp"
+#include "fleet_lab.hpp"
+
+namespace fennellane {
+namespace {
+
+using namespace harness;
+using standin::happens;
+using std::chrono::seconds;
+using Kind = standin::StoreEvent::Kind;
+
+LabSettings lab_settings(std::size_t relays = 3) {
+  LabSettings settings;
+  settings.program = FENNELLANE_PROGRAM;
+  settings.relays = relays;
+  return settings;
+}
+
+std::size_t count(const History& h, Kind kind) {
+  return static_cast<std::size_t>(
+      std::count_if(h.store.begin(), h.store.end(), [kind](const auto& e) { return e.kind == kind; }));
+}
+
+// A lab whose relays are up and whose role is held, with work for the holder.
+class Ownership : public testing::Test {
+ protected:
+  explicit Ownership(const LabSettings& settings = lab_settings()) : lab(settings) {
+    lab.start();
+    EXPECT_TRUE(lab.waits_for_holder_other_than(lab.size()));
+    owner = lab.holder();
+    expect_work();
+  }
+  // Whoever owns the role does its work.
+  void expect_work() {
+    lab.leave_registration();
+    EXPECT_TRUE(happens([&] { return lab.registrations_left() == 0; }));
+  }
+  bool says(std::size_t relay, const std::string& text) { return lab.relay(relay).logged(text) > 0; }
+  std::string broken() {
+    const History h = lab.history();
+    return breach(h);
+  }
+
+  FleetLab lab;
+  std::size_t owner = 0;
+};
+
+TEST_F(Ownership, AnOwnerPausedPastItsTtlDoesNothingWhenItWakes) {
+  lab.relay(owner).signal(SIGSTOP);
+  ASSERT_TRUE(lab.waits_for_holder_other_than(owner));
+  const std::size_t next = lab.holder();
+  expect_work();
+  lab.relay(owner).signal(SIGCONT);
+  EXPECT_TRUE(happens([&] { return says(owner, "acts no more"); })) << lab.relay(owner).log();
+  expect_work();
+  EXPECT_EQ(lab.holder(), next);
+  EXPECT_EQ(broken(), "");
+}
+
+TEST_F(Ownership, AnOwnerCutFromConsulStopsAndStillDelivers) {
+  lab.to_consul(owner).set(PathFault::hold);
+  EXPECT_TRUE(happens([&] { return says(owner, "acts no more"); }));
+  ASSERT_TRUE(lab.waits_for_holder_other_than(owner));
+  EXPECT_TRUE(lab.offer_to(owner));
+  EXPECT_TRUE(happens([&] { return lab.relay(owner).counter("delivered") == 1; }));
+  expect_work();
+  lab.to_consul(owner).set(PathFault::none);
+  expect_work();
+  EXPECT_EQ(broken(), "");
+}
+
+// The check was made in time, and the write arrives when another may own the role, or nobody.
+TEST_F(Ownership, AWriteThatIsLateOnItsWayIsRefused) {
+  std::size_t refused = 0;
+  for (int tries = 0; tries < 20 && refused == 0; ++tries) {
+    owner = lab.holder();
+    if (owner >= lab.size()) continue;
+    lab.leave_registration();
+    lab.to_consul(owner).set(PathFault::hold_down);
+    std::this_thread::sleep_for(milliseconds(75));
+    lab.to_consul(owner).set(PathFault::hold_up);
+    ASSERT_TRUE(lab.waits_for_holder_other_than(owner));
+    lab.to_consul(owner).set(PathFault::none);
+    EXPECT_TRUE(happens([&] { return lab.registrations_left() == 0; }));
+    happens([&] { return count(lab.history(), Kind::refused) > 0; }, seconds(1));
+    refused = count(lab.history(), Kind::refused);
+  }
+  EXPECT_GT(refused, 0u);
+  EXPECT_GT(lab.history().claims.size(), 1u);  // another has acted since
+  EXPECT_EQ(broken(), "");
+}
+
+TEST_F(Ownership, AConsulThatRestartsWithItsStateChangesNoOwner) {
+  const std::size_t before = count(lab.history(), Kind::acquired);
+  lab.consul().restart(true);
+  std::this_thread::sleep_for(milliseconds(1500));  // past the TTL
+  expect_work();
+  const History h = lab.history();
+  EXPECT_EQ(count(h, Kind::acquired), before);
+  EXPECT_EQ(count(h, Kind::lost), 0u);
+  EXPECT_EQ(breach(h), "");
+}
+
+TEST_F(Ownership, AConsulThatHasLostItsStateHasAnOwnerAgain) {
+  lab.consul().restart(false);
+  ASSERT_TRUE(happens([&] {
+    lab.leave_registration();
+    return count(lab.history(), Kind::acquired) >= 2;
+  }));
+  expect_work();
+  History h = lab.history();
+  h.state_kept = false;
+  EXPECT_EQ(breach(h), "");
+}
+
+TEST_F(Ownership, AKilledOwnerIsFollowedAndComesBackAsAnyOther) {
+  EXPECT_EQ(lab.relay(owner).end(SIGKILL), -SIGKILL);
+  ASSERT_TRUE(lab.waits_for_holder_other_than(owner));
+  expect_work();
+  lab.relay(owner).start();
+  expect_work();
+  EXPECT_EQ(broken(), "");
+}
+
+// No lapse, no lock-delay: the next owner has the role as soon as it tries.
+TEST_F(Ownership, AnOwnerThatStopsHandsTheRoleOver) {
+  EXPECT_EQ(lab.relay(owner).end(SIGTERM), 0);
+  ASSERT_TRUE(lab.waits_for_holder_other_than(owner));
+  const History h = lab.history();
+  EXPECT_EQ(count(h, Kind::lost), 0u);
+  EXPECT_EQ(count(h, Kind::released), 1u);
+  lab.relay(owner).start();
+  expect_work();
+  EXPECT_EQ(broken(), "");
+}
+
+TEST_F(Ownership, TheCommandSaysWhoOwnsWhat) {
+  const std::string command =
+      std::string(FENNELLANE_PROGRAM) + " owners --settings " + lab.relay(0).folder() + "/settings.sexp 2>&1";
+  FILE* const pipe = ::popen(command.c_str(), "r");
+  ASSERT_NE(pipe, nullptr);
+  std::string said(1000, 0);
+  said.resize(std::fread(said.data(), 1, said.size(), pipe));
+  EXPECT_EQ(::pclose(pipe), 0);
+  EXPECT_TRUE(said.starts_with("sweep")) << said;
+  EXPECT_NE(said.find("r" + std::to_string(owner)), std::string::npos) << said;
+  EXPECT_NE(said.find("token 1 session "), std::string::npos) << said;
+}
+
+LabSettings upgradable() {
+  LabSettings settings = lab_settings(2);
+  settings.timing = {6000, 1500, 800, 3000, 1500, 50, 100, 1000};
+  settings.more = "(upgrade (start-ms 60000) (state-ms 60000) (taken-ms 60000))";
+  return settings;
+}
+class OwnershipUpgraded : public Ownership {
+ protected:
+  OwnershipUpgraded() : Ownership(upgradable()) {}
+};
+
+// The new process goes on with the session and the token of the old one.
+TEST_F(OwnershipUpgraded, AnUpgradeKeepsTheRole) {
+  for (int i = 0; i < 3; ++i)
+    ASSERT_EQ(upgrade::ask_for_upgrade(lab.relay(owner).state_folder(), seconds(90)), 0)
+        << lab.relay(owner).log();
+  expect_work();
+  const History h = lab.history();
+  EXPECT_EQ(count(h, Kind::acquired), 1u) << lab.relay(owner).log();
+  EXPECT_EQ(lab.holder(), owner);
+  EXPECT_EQ(breach(h), "");
+}
+
+TEST(OwnershipStart, RelaysThatStartInOneInstantHaveOneOwner) {
+  FleetLab lab(lab_settings(6));
+  lab.start();
+  ASSERT_TRUE(lab.waits_for_holder_other_than(lab.size()));
+  lab.leave_registration();
+  EXPECT_TRUE(happens([&] { return lab.registrations_left() == 0; }));
+  const History h = lab.history();
+  EXPECT_EQ(count(h, Kind::acquired), 1u);
+  EXPECT_EQ(h.claims.size(), 1u);
+  EXPECT_EQ(breach(h), "");
+}
+
+TEST(OwnershipSchedules, KeepTheRulesUnderFaultsThatAreDrawn) {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    LabSettings settings = lab_settings();
+    settings.seed = seed;
+    const auto faults = draw_faults(seed, 6, settings.relays, settings.timing);
+    FleetLab lab(settings);
+    const History h = lab.run(faults);
+    std::string text;
+    for (const Fault& f : faults) text += text_of(f) + "\n";
+    EXPECT_EQ(breach(h), "") << "seed " << seed << "\n" << text;
+    EXPECT_TRUE(lab.recovered()) << "seed " << seed << "\n" << text;
+  }
+}
+
+// The checker on its own: a history that keeps the rules, and each rule broken in it.
+class Checker : public testing::Test {
+ protected:
+  Checker() {
+    h.lock_delay = milliseconds(300);
+    event(Kind::acquired, 0, "s1", 1);
+    event(Kind::written, 10, "s1", 1);
+    event(Kind::lost, 100, "s1", 1);
+    event(Kind::acquired, 450, "s2", 2);
+    event(Kind::refused, 460, "s1", 2);
+    event(Kind::written, 470, "s2", 2);
+    h.claims = {{"r0", "sweep", true, 1}, {"r1", "sweep", true, 2}};
+    h.taken = {{"m1", "r0"}, {"m2", "r1"}};
+    h.pays = {"m2"};
+    h.calls = {{"m1", "", {}}, {"m1", "", {}}, {"m2", "", {}}};
+  }
+  void event(Kind kind, int at, const std::string& session, std::uint64_t token) {
+    h.store.push_back({kind, SteadyTime(milliseconds(1000 + at)), "k", session, token, "", session});
+  }
+  History h;
+};
+
+TEST_F(Checker, LetsAHistoryPassThatKeepsTheRules) {
+  EXPECT_EQ(breach(h), "");
+  ASSERT_EQ(failovers(h).size(), 1u);
+  EXPECT_EQ(failovers(h)[0], milliseconds(370));
+}
+TEST_F(Checker, FindsTwoHolders) {
+  h.store.erase(h.store.begin() + 2);
+  EXPECT_NE(breach(h).find("that s1 held"), std::string::npos);
+}
+TEST_F(Checker, FindsALockTakenWithinTheLockDelay) {
+  h.store[3].at = SteadyTime(milliseconds(1390));
+  EXPECT_NE(breach(h).find("within the lock-delay"), std::string::npos);
+}
+TEST_F(Checker, FindsALateWriteThatWasTaken) {
+  h.store[4].kind = Kind::written;
+  EXPECT_NE(breach(h).find("does not hold the role"), std::string::npos);
+}
+TEST_F(Checker, FindsATokenOfTwoRelaysAndOneThatDoesNotGrow) {
+  h.claims[1].token = 1;
+  EXPECT_NE(breach(h).find("claimed by"), std::string::npos);
+  h.store[3].lock_index = 1;
+  EXPECT_NE(breach(h).find("did not grow"), std::string::npos);
+}
+TEST_F(Checker, FindsAMessageWithoutAnEndAndOneThatRanTwice) {
+  h.calls.push_back({"m2", "", {}});
+  EXPECT_NE(breach(h).find("m2 was called 2 times"), std::string::npos);
+  h.calls.clear();
+  h.undelivered = {"m2"};
+  EXPECT_NE(breach(h).find("m1, taken on by r0, has no end"), std::string::npos);
+  h.undelivered = {"m1", "m2"};
+  h.held = 1;
+  EXPECT_NE(breach(h).find("still held"), std::string::npos);
+}
+
+// --- The sweep's decisions, and what is read from Consul
+fleet::Registration registration(const std::string& id, bool critical, std::uint64_t check_index) {
+  return {"n", id, "service:" + id, 5, check_index, critical};
+}
+
+TEST(Sweep, RemovesOnlyWhatItHasSeenCriticalForLongEnoughWithoutAChange) {
+  fleet::SweepSettings settings;
+  settings.stale_after = seconds(60);
+  fleet::Sweep sweep(settings);
+  const auto look = [&](int at, const std::vector<fleet::Registration>& all) {
+    std::string ids;
+    for (const auto& r : sweep.look(seconds(at), all)) ids += r.id;
+    return ids;
+  };
+  const auto a = registration("a", true, 7), b = registration("b", true, 8), c = registration("c", false, 9);
+  EXPECT_EQ(look(1000, {a, b, c}), "");
+  EXPECT_EQ(look(1059, {a, b, c}), "");
+  // One has passed in between: its check has another index, and its time begins anew.
+  EXPECT_EQ(look(1060, {a, registration("b", true, 12), c}), "a");
+  EXPECT_EQ(sweep.watched(), 2u);
+  EXPECT_EQ(look(1061, {registration("b", true, 12)}), "");
+  EXPECT_EQ(sweep.watched(), 1u);  // what is gone is forgotten
+  EXPECT_EQ(look(1120, {registration("b", true, 12)}), "b");
+  sweep.begin();  // a new holder goes by what it sees itself
+  EXPECT_EQ(look(2000, {registration("b", true, 12)}), "");
+  settings.stale_after = seconds(0);
+  settings.most = 2;
+  EXPECT_EQ(fleet::Sweep(settings).look(seconds(1), {a, b, registration("d", true, 1)}).size(), 2u);
+  fleet::Registration unchecked = a;
+  unchecked.check.clear();
+  EXPECT_EQ(fleet::Sweep(settings).look(seconds(1), {unchecked}).size(), 0u);
+}
+
+TEST(FleetAgentText, ReadsOnlyWhatConsulWouldSay) {
+  EXPECT_EQ(session_id(R"({"ID":"adf4238a-882b-9ddc-4a9d-5b6758e4159e"})"),
+            "adf4238a-882b-9ddc-4a9d-5b6758e4159e");
+  for (const char* bad : {"", "{}", "[]", R"({"ID":[]})", R"({"ID":"a/../b"})", R"({"ID":"a b"})"})
+    EXPECT_EQ(session_id(bad), "") << bad;
+  lease::KeySeen seen;
+  EXPECT_TRUE(read_key(R"([{"LockIndex":3,"Session":"s"}])", seen));
+  EXPECT_EQ(seen.holder, "s");
+  EXPECT_EQ(seen.lock_index, 3u);
+  for (const char* bad :
+       {"", "[]", "{}", "[1]", R"([{"LockIndex":-1}])", R"([{"LockIndex":1,"Session":{}}])"})
+    EXPECT_FALSE(read_key(bad, seen)) << bad;
+  std::vector<fleet::Registration> all;
+  for (const char* bad :
+       {"", "{}", "[1]", R"([{"Node":3}])", R"([{"Node":{"Node":"n"},"Service":{"ID":{}}}])"})
+    EXPECT_FALSE(read_registrations(bad, all)) << bad;
+  all.clear();
+  standin::CatalogueHost host;
+  host.id = "r1";
+  host.status = "critical";
+  host.service_index = 4;
+  host.check_index = 6;
+  EXPECT_TRUE(read_registrations("[" + standin::element_json("relays", host) + "]", all));
+  ASSERT_EQ(all.size(), 1u);
+  EXPECT_EQ(all[0].check, "service:r1");
+  EXPECT_EQ(all[0].service_index, 4u);
+  EXPECT_EQ(all[0].check_index, 6u);
+  EXPECT_TRUE(all[0].critical);
+}
+
+}  // namespace
+}  // namespace fennellane
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -438,6 +438,7 @@
     std::string operator()(const PostNotice& e) const { return of(e.stream, e.id + us(e.again)); }
     std::string operator()(const SetTimer& e) const { return us(e.at); }
     std::string operator()(const Say& e) const { return e.text; }
+    std::string operator()(const FleetDo& e) const { return std::to_string(e.effect.index()); }
   };
   return std::to_string(effect.index()) + " " + std::visit(Text{}, effect);
 }
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -14,6 +14,7 @@
   return {std::istreambuf_iterator<char>(in), {}};
 }
 
+const std::string kAgent = "(consul (address \"127.0.0.1:8500\"))";
 const std::string kLeast =
     "(class (name \"note\") (effect \"free\") (aim-ms 2000) (give-up-ms 20000))\n"
     "(tenant (name \"north\"))\n";
@@ -46,6 +47,15 @@
   EXPECT_EQ(over.consul->membership.loss_hold, defaults.membership.loss_hold);
   EXPECT_EQ(over.consul->membership.damping.most, defaults.membership.damping.most);
 
+  EXPECT_FALSE(platform.fleet);
+  const Config fleet = apply_settings(shipped("fleet.sexp"), "fleet.sexp", platform);
+  ASSERT_TRUE(fleet.fleet);
+  EXPECT_EQ(fleet.source, MembershipSource::platform);
+  FleetSettings usual;
+  usual.roles = {"sweep"};
+  usual.sweep.service = "fennellane";
+  EXPECT_EQ(*fleet.fleet, usual);
+
   EXPECT_FALSE(platform.upgrade);
   const Config upgraded = apply_settings(shipped("upgrade.sexp"), "upgrade.sexp", platform);
   EXPECT_EQ(upgraded.upgrade, UpgradeSettings());
@@ -87,7 +97,17 @@
       {kLeast, "host: at least one host is needed"},
       {kLeast + "(membership \"platform\")", "s:3: membership: there is no platform"},
       {kLeast + "(membership \"consul\")", "consul: is needed for membership consul"},
-      {kLeast + "(consul (address \"127.0.0.1:8500\"))", "s:3: consul: "},
+      {kLeast + "(membership \"consul\")\n(consul (address \"127.0.0.1:8500\"))",
+       "consul.service: at least one is needed"},
+      {kLeast + "(consul (tag \"a\"))", "s:3: consul"},
+      {kLeast + kHost + "(fleet (roles \"sweep\"))", "fleet: needs a section consul"},
+      {kLeast + kHost + kAgent + "(fleet (roles \"dance\"))", "fleet.roles"},
+      {kLeast + kHost + kAgent + "(fleet (roles \"sweep\" \"sweep\"))", "fleet.roles: is named twice: sweep"},
+      {kLeast + kHost + kAgent + "(fleet (roles \"sweep\"))", "fleet.sweep.service: is needed"},
+      {kLeast + kHost + kAgent + "\n(fleet (roles \"sweep\") (ttl-ms 9000))",
+       "s:5: fleet: its times cannot be kept: ttl"},
+      {kLeast + kHost + kAgent + "(fleet (roles \"sweep\") (renew-ms 12000))",
+       "its times cannot be kept: renew_every + call"},
       {kLeast + "(consul (address \"127.0.0.1:8500\")\n(service (name \"a\"))\n(service (name \"a b\")))",
        "s:5: consul.service[1].name: "},
       {kLeast + kHost +
--- /dev/null
+++ b/tools/harness/fleet_lab.cpp
@@ -0,0 +1,310 @@
+#include "fleet_lab.hpp"
+
+#include <signal.h>
+
+#include <algorithm>
+#include <sstream>
+#include <thread>
+
+#include "load.hpp"
+
+namespace fennellane::harness {
+namespace {
+
+using std::chrono::steady_clock;
+
+constexpr const char* kRole = "lab/role/sweep";
+constexpr const char* kService = "relays";
+
+std::string ms(const char* name, int value) {
+  return std::string("(") + name + "-ms " + std::to_string(value) + ") ";
+}
+
+standin::StoreRules rules_of(const LabSettings& settings) {
+  standin::StoreRules rules;
+  rules.least_ttl = milliseconds(100);  // as agents with a low session_ttl_min
+  rules.fence = settings.fence;
+  // Anything between its TTL and twice that.
+  rules.ttl_slack = ttl_slack(settings.seed);
+  return rules;
+}
+
+}  // namespace
+
+double ttl_slack(std::uint64_t seed) { return 1 + static_cast<double>(seed % 5) / 4; }
+
+std::string text_of(const Fault& f) {
+  constexpr const char* kNames[] = {
+      "pause", "kill", "end", "consul_path", "partner_path", "late_write", "consul_restart", "consul_loss"};
+  std::string text = std::to_string(f.at.count()) + " ms: " + kNames[static_cast<int>(f.kind)];
+  if (f.kind == Fault::Kind::consul_path || f.kind == Fault::Kind::partner_path)
+    text += std::string(" ") + name_of(f.path);
+  if (f.kind < Fault::Kind::consul_restart)
+    text += (f.relay < 0 ? " of the holder" : " of relay " + std::to_string(f.relay)) + " for " +
+            std::to_string(f.span.count()) + " ms";
+  return text;
+}
+
+std::vector<Fault> draw_faults(std::uint64_t seed, std::size_t count, std::size_t relays,
+                               const LabTiming& t) {
+  std::mt19937_64 random(seed);
+  const auto draw = [&random](int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(random);
+  };
+  std::vector<Fault> faults;
+  // From shorter than the margin to past the TTL with its slack and the lock-delay.
+  const int spans[] = {t.margin / 2, t.ttl / 2, t.ttl, 2 * t.ttl + t.lock_delay + t.margin};
+  int at = 2 * t.spread + 200;
+  for (std::size_t i = 0; i < count; ++i) {
+    Fault f;
+    const int kind = draw(0, 99);
+    f.kind = kind < 25   ? Fault::Kind::pause
+             : kind < 37 ? Fault::Kind::kill
+             : kind < 43 ? Fault::Kind::end
+             : kind < 67 ? Fault::Kind::consul_path
+             : kind < 78 ? Fault::Kind::partner_path
+             : kind < 94 ? Fault::Kind::late_write
+                         : Fault::Kind::consul_restart;
+    at += draw(0, t.ttl);
+    f.at = milliseconds(at);
+    f.span = milliseconds(spans[draw(0, 3)] * draw(80, 120) / 100);
+    f.relay = draw(0, 2) == 0 ? draw(0, static_cast<int>(relays) - 1) : -1;
+    if (f.kind == Fault::Kind::late_write) {
+      f.relay = -1;
+      // After the next owner has begun, or when nobody holds the role: in the lock-delay.
+      f.span = draw(0, 1) == 0 ? milliseconds(spans[3] + 2 * t.spread + t.retry)
+                               : milliseconds(static_cast<int>(t.ttl * ttl_slack(seed)) + t.lock_delay / 2);
+    }
+    f.path = static_cast<PathFault>(draw(1, kPathFaults - 1));
+    faults.push_back(f);
+  }
+  return faults;
+}
+
+FleetLab::FleetLab(const LabSettings& settings)
+    : settings_(settings), consul_(rules_of(settings)), partner_(milliseconds(3)) {
+  for (std::size_t i = 0; i < settings_.relays; ++i) {
+    auto member = std::make_unique<Member>();
+    const std::string own = "127.0.0." + std::to_string(10 + i % 200);
+    member->to_consul = std::make_unique<FaultProxy>(loop_, own, own, consul_.address());
+    member->to_partner = std::make_unique<FaultProxy>(loop_, own, own, partner_.address());
+    member->process = std::make_unique<standin::RelayProcess>(settings_.program);
+    members_.push_back(std::move(member));
+    members_.back()->process->replace_settings(settings_text(i));
+  }
+}
+
+// A stopped process can be killed all the same.
+FleetLab::~FleetLab() {
+  for (const auto& member : members_) member->process.reset();
+}
+
+std::string FleetLab::settings_text(std::size_t i) const {
+  const Member& m = *members_[i];
+  const LabTiming& t = settings_.timing;
+  return "(name \"r" + std::to_string(i) + "\") (listen \"" + m.process->address() + "\")\n" +
+         "(limits (sockets 256) (memory-mb 64) (disk-mb 3)) (log (lines 100000))\n"
+         "(class (name \"note\") (effect \"free\") (aim-ms 2000) (give-up-ms 20000) (late-worth 0.4))\n"
+         "(class (name \"pay\") (effect \"single_shot\") (aim-ms 2000) (give-up-ms 20000) (worth 3))\n"
+         "(tenant (name \"north\") (rate 100)) (delivery (connect-ms 300))\n"
+         "(membership \"list\") (host (id \"p\") (address \"" +
+         m.to_partner->address() + "\") (destination 0) (rate 1000))\n" + "(consul (address \"" +
+         m.to_consul->address() + "\"))\n(fleet (prefix \"lab\") (roles \"sweep\") " + ms("ttl", t.ttl) +
+         ms("renew", t.renew) + ms("margin", t.margin) + ms("lock-delay", t.lock_delay) + ms("call", t.call) +
+         ms("retry", t.retry) + ms("spread", t.spread) + ms("wait", t.wait) +
+         "(consul-least-ttl-ms 100) (sweep (service \"" + kService +
+         "\") (every-ms 20) (stale-after-ms 0)))\n" + settings_.more;
+}
+
+void FleetLab::start() {
+  std::vector<std::thread> starting;
+  for (const auto& member : members_) {
+    starting.emplace_back([&member] { member->process->start(); });
+    member->up = true;
+  }
+  for (std::thread& thread : starting) thread.join();
+}
+
+std::size_t FleetLab::holder() const {
+  using Kind = standin::StoreEvent::Kind;
+  std::string name;
+  for (const standin::StoreEvent& e : consul_.events()) {
+    if (e.kind == Kind::acquired) name = e.value;
+    if (e.kind == Kind::released || e.kind == Kind::lost) name.clear();
+  }
+  return name.empty() ? members_.size() : static_cast<std::size_t>(std::stoul(name.substr(1)));
+}
+
+bool FleetLab::waits_for_holder_other_than(std::size_t relay, std::chrono::seconds limit) const {
+  return standin::happens([&] { return holder() != relay && holder() < members_.size(); }, limit);
+}
+
+void FleetLab::leave_registration() {
+  standin::CatalogueHost host;
+  host.node = "gone-" + std::to_string(left_);
+  host.id = "relay-" + std::to_string(left_++);
+  host.status = "critical";
+  consul_.put(kService, host);
+}
+
+std::size_t FleetLab::registrations_left() {
+  std::size_t left = 0;
+  consul_.change(kService, [&left](standin::ConsulAgent::Hosts& hosts) { left = hosts.size(); });
+  return left;
+}
+
+// One message to a relay that is up; a client that hears no answer has handed in nothing, for all it knows.
+void FleetLab::offer() {
+  const std::size_t i = offered_ % members_.size();
+  if (members_[i]->up) {
+    offer_to(i);
+  } else {
+    ++offered_;
+  }
+}
+
+bool FleetLab::offer_to(std::size_t i) {
+  const bool pay = offered_ / members_.size() % 2 == 0;
+  const std::string id = "m" + std::to_string(offered_++);
+  if (members_[i]->process->ask(standin::message_text(id, pay, 0, 200, "20000")) != 202) return false;
+  taken_[id] = "r" + std::to_string(i);
+  if (pay) pays_.insert(id);
+  return true;
+}
+
+void FleetLab::begin(const Fault& f, std::size_t relay) {
+  Member& m = *members_[relay];
+  switch (f.kind) {
+    case Fault::Kind::pause:
+      if (m.up) m.process->signal(SIGSTOP);
+      m.up = false;
+      break;
+    case Fault::Kind::kill:
+    case Fault::Kind::end:
+      if (m.up) m.process->end(f.kind == Fault::Kind::kill ? SIGKILL : SIGTERM);
+      m.up = false;
+      break;
+    case Fault::Kind::consul_path:
+      m.to_consul->set(f.path, milliseconds(settings_.timing.margin));
+      break;
+    case Fault::Kind::late_write:
+      // The look before the write goes out and its answer waits; let in, it finds the way out closed.
+      m.to_consul->set(PathFault::hold_down);
+      std::this_thread::sleep_for(milliseconds(settings_.timing.call / 2));
+      m.to_consul->set(PathFault::hold_up);
+      break;
+    case Fault::Kind::partner_path:
+      m.to_partner->set(f.path, milliseconds(settings_.timing.margin));
+      break;
+    case Fault::Kind::consul_restart:
+      consul_.restart(true);
+      break;
+    case Fault::Kind::consul_loss:
+      state_kept_ = false;
+      consul_.restart(false);
+      break;
+  }
+}
+
+void FleetLab::end(const Fault& f, std::size_t relay) {
+  Member& m = *members_[relay];
+  switch (f.kind) {
+    case Fault::Kind::pause:
+      m.process->signal(SIGCONT);
+      m.up = true;
+      break;
+    case Fault::Kind::kill:
+    case Fault::Kind::end:
+      m.process->start();
+      m.up = true;
+      break;
+    case Fault::Kind::consul_path:
+    case Fault::Kind::late_write:
+      m.to_consul->set(PathFault::none);
+      break;
+    case Fault::Kind::partner_path:
+      m.to_partner->set(PathFault::none);
+      break;
+    default:
+      break;
+  }
+}
+
+bool FleetLab::settled() {
+  if (holder() >= members_.size() || registrations_left() > 0) return false;
+  return std::all_of(members_.begin(), members_.end(),
+                     [](const auto& m) { return m->process->counter("journal.held") == 0; });
+}
+
+History FleetLab::run(const std::vector<Fault>& faults) {
+  start();
+  const auto began = steady_clock::now();
+  struct Standing {
+    Fault fault;
+    std::size_t relay = 0;
+    steady_clock::time_point until;
+  };
+  std::vector<Standing> standing;
+  std::vector<bool> busy(members_.size(), false);  // one fault a relay at a time
+  std::size_t next = 0;
+  steady_clock::time_point last_offer{}, last_left{};
+  while (next < faults.size() || !standing.empty()) {
+    const auto now = steady_clock::now();
+    std::erase_if(standing, [&](const Standing& s) {
+      if (s.until > now) return false;
+      end(s.fault, s.relay);
+      busy[s.relay] = false;
+      return true;
+    });
+    if (next < faults.size() && began + faults[next].at <= now) {
+      const Fault& f = faults[next++];
+      std::size_t relay = f.relay >= 0 ? static_cast<std::size_t>(f.relay) : holder();
+      if (relay >= members_.size()) relay = next % members_.size();
+      const bool of_a_relay = f.kind < Fault::Kind::consul_restart;
+      if (!of_a_relay) {
+        begin(f, relay);
+      } else if (!busy[relay]) {
+        begin(f, relay);
+        busy[relay] = true;
+        standing.push_back({f, relay, now + f.span});
+      }
+    }
+    if (settings_.messages && now - last_offer > milliseconds(15)) {
+      offer();
+      last_offer = now;
+    }
+    if (now - last_left > milliseconds(40)) {
+      leave_registration();
+      last_left = now;
+    }
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  recovered_ = standin::happens([this] { return settled(); }, std::chrono::seconds(40));
+  return history();
+}
+
+History FleetLab::history() {
+  History h;
+  h.store = consul_.events();
+  for (const standin::PartnerCall& call : partner_.calls())
+    h.calls.push_back({call.id, call.from, call.first_byte});
+  h.taken = taken_;
+  h.pays = pays_;
+  h.lock_delay = milliseconds(settings_.timing.lock_delay);
+  h.state_kept = state_kept_;
+  for (std::size_t i = 0; i < members_.size(); ++i) {
+    const std::string name = "r" + std::to_string(i);
+    h.held += members_[i]->process->counter("journal.held");
+    std::istringstream log(members_[i]->process->log());
+    for (std::string line; std::getline(log, line);) {
+      const std::string told = name + ": undelivered: ", acts = name + ": lease: sweep: acts, token ";
+      if (line.starts_with(told))
+        h.undelivered.insert(line.substr(told.size(), line.rfind(':') - told.size()));
+      if (line.starts_with(acts))
+        h.claims.push_back({name, "sweep", true, std::stoull(line.substr(acts.size()))});
+    }
+  }
+  return h;
+}
+
+}  // namespace fennellane::harness
--- /dev/null
+++ b/tools/harness/fleet_lab.hpp
@@ -0,0 +1,116 @@
+// Several relays as processes, a Consul, a partner, and a fault proxy on every path between them, played by a
+// seeded schedule of faults; all that matters is recorded for the checker. Loopback only, bounded in time,
+// and everything it starts it ends.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "consul_agent.hpp"
+#include "fault_proxy.hpp"
+#include "history.hpp"
+#include "partner.hpp"
+#include "relay_process.hpp"
+
+namespace fennellane::harness {
+
+using std::chrono::milliseconds;
+
+// The lease's times, all scaled down together, so that a schedule lasts seconds.
+struct LabTiming {
+  int ttl = 600, renew = 150, margin = 80, lock_delay = 300, call = 150, retry = 50, spread = 100,
+      wait = 1000;
+};
+
+struct LabSettings {
+  std::string program;  // of the relay
+  std::size_t relays = 3;
+  std::uint64_t seed = 1;
+  LabTiming timing;
+  bool fence = true;       // false: a planted bug of the store
+  bool messages = true;    // clients hand in messages meanwhile
+  std::size_t faults = 4;  // of a random schedule
+  std::string more;        // settings of every relay
+};
+
+struct Fault {
+  enum class Kind : std::uint8_t {
+    pause,           // SIGSTOP, and SIGCONT after `span`
+    kill,            // SIGKILL, and a new life after `span`
+    end,             // SIGTERM, likewise
+    consul_path,     // `path` between this relay and Consul for `span`
+    partner_path,    // `path` between this relay and the partner for `span`
+    late_write,      // what it next writes in its role stands still on the way for `span`, and arrives then
+    consul_restart,  // its state kept
+    consul_loss      // its state lost
+  };
+  Kind kind{};
+  milliseconds at{}, span{};
+  int relay = -1;  // -1: the one that holds the role then, or any where nobody does
+  PathFault path{};
+};
+std::string text_of(const Fault& fault);
+// How many times its TTL a session lasts at this seed's store.
+double ttl_slack(std::uint64_t seed);
+// Drawn from the seed: pauses and partitions around the TTL, kills, restarts, a third of them at the holder.
+std::vector<Fault> draw_faults(std::uint64_t seed, std::size_t count, std::size_t relays,
+                               const LabTiming& timing);
+
+class FleetLab {
+ public:
+  explicit FleetLab(const LabSettings& settings);
+  ~FleetLab();
+  FleetLab(const FleetLab&) = delete;
+  FleetLab& operator=(const FleetLab&) = delete;
+
+  // Starts all relays at once, plays the faults, heals everything, and waits until the role is owned again
+  // and all messages have ended (or for long). May be called once.
+  History run(const std::vector<Fault>& faults);
+  // After `run`: whether that came about in time.
+  bool recovered() const { return recovered_; }
+
+  // For tests that steer it themselves.
+  void start();
+  std::size_t holder() const;  // by its number; `relays` where nobody holds the role
+  bool waits_for_holder_other_than(std::size_t relay,
+                                   std::chrono::seconds limit = std::chrono::seconds(30)) const;
+  standin::RelayProcess& relay(std::size_t i) { return *members_[i]->process; }
+  FaultProxy& to_consul(std::size_t i) { return *members_[i]->to_consul; }
+  FaultProxy& to_partner(std::size_t i) { return *members_[i]->to_partner; }
+  standin::ConsulAgent& consul() { return consul_; }
+  std::size_t size() const { return members_.size(); }
+  bool offer_to(std::size_t relay);  // one message; whether it was taken on
+  // A registration that its agent has left behind, for the sweep to remove; a holder that acts has work so.
+  void leave_registration();
+  std::size_t registrations_left();
+  History history();
+
+ private:
+  struct Member {
+    std::unique_ptr<FaultProxy> to_consul, to_partner;
+    std::unique_ptr<standin::RelayProcess> process;
+    bool up = false;
+  };
+  std::string settings_text(std::size_t i) const;
+  void begin(const Fault& fault, std::size_t relay);
+  void end(const Fault& fault, std::size_t relay);
+  void offer();
+  bool settled();
+
+  const LabSettings settings_;
+  standin::ConsulAgent consul_;
+  standin::Partner partner_;
+  ProxyLoop loop_;
+  std::vector<std::unique_ptr<Member>> members_;
+  std::map<std::string, std::string> taken_;
+  std::set<std::string> pays_;
+  std::size_t offered_ = 0, left_ = 0;
+  bool state_kept_ = true;
+  bool recovered_ = false;
+};
+
+}  // namespace fennellane::harness
--- /dev/null
+++ b/tools/rehearse_fleet.cpp
@@ -0,0 +1,137 @@
+// Plays seeded schedules of faults between several relays, Consul and a partner, and says whether every rule
+// was kept, how long a role was without an owner, and (with --load) what many relays cost Consul.
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <cstdio>
+#include <exception>
+#include <thread>
+
+#include "fleet_lab.hpp"
+
+namespace {
+
+using namespace fennellane::harness;
+using std::chrono::microseconds;
+
+double ms_at(std::vector<microseconds>& spans, double share) {
+  if (spans.empty()) return 0;
+  std::sort(spans.begin(), spans.end());
+  const auto at = static_cast<std::size_t>(share * static_cast<double>(spans.size() - 1) + 0.5);
+  return static_cast<double>(spans[at].count()) / 1000;
+}
+
+void print_faults(const std::vector<Fault>& faults) {
+  for (const Fault& f : faults) std::printf("  %s\n", text_of(f).c_str());
+}
+
+void print_events(const History& history) {
+  constexpr const char* kNames[] = {"acquired", "released", "lost", "written", "refused", "restarted"};
+  for (const auto& e : history.store)
+    std::printf("  %.3f %s %s token %llu, held by %s\n",
+                std::chrono::duration<double>(e.at - history.store.front().at).count(),
+                kNames[static_cast<int>(e.kind)], e.session.c_str(),
+                static_cast<unsigned long long>(e.lock_index),
+                e.holder.empty() ? "nobody" : e.holder.c_str());
+}
+
+// So many relays that seek one role and are left alone, then their holder is killed.
+int measure_load(LabSettings settings, int seconds) {
+  settings.messages = false;
+  FleetLab lab(settings);
+  lab.start();
+  if (!lab.waits_for_holder_other_than(settings.relays)) return 1;
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  const std::size_t before = lab.consul().requests();
+  std::this_thread::sleep_for(std::chrono::seconds(seconds));
+  const double steady = static_cast<double>(lab.consul().requests() - before) / seconds;
+  const std::size_t holder = lab.holder();
+  lab.relay(holder).end(SIGKILL);
+  std::size_t at = lab.consul().requests(), peak = 0;
+  const auto killed = std::chrono::steady_clock::now();
+  std::size_t during = at;
+  while (!lab.waits_for_holder_other_than(holder, std::chrono::seconds(1)) &&
+         std::chrono::steady_clock::now() - killed < std::chrono::seconds(120)) {
+    const std::size_t now = lab.consul().requests();
+    peak = std::max(peak, now - at);
+    at = now;
+  }
+  const double took = std::chrono::duration<double>(std::chrono::steady_clock::now() - killed).count();
+  during = lab.consul().requests() - during;
+  std::printf(
+      "%zu relays: %.1f calls a second in all, %.3f a relay; the holder killed: %.1f s to the next, %zu "
+      "calls, at "
+      "most %zu in a second, %zu sessions then\n",
+      settings.relays, steady, steady / static_cast<double>(settings.relays), took, during, peak,
+      lab.consul().sessions());
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"Plays seeded schedules of faults between several relays, Consul and a partner"};
+  LabSettings settings;
+  std::uint64_t first = 1, count = 10;
+  int load = 0, slower = 1;
+  bool no_fence = false, quiet = false, events = false;
+  app.add_option("program", settings.program, "the relay's")->required();
+  app.add_option("--relays", settings.relays)->check(CLI::Range(2, 400))->capture_default_str();
+  app.add_option("--seed", first, "of the first schedule")->capture_default_str();
+  app.add_option("--count", count, "schedules")->check(CLI::Range(1, 10000))->capture_default_str();
+  app.add_option("--faults", settings.faults, "in each")->check(CLI::Range(0, 50))->capture_default_str();
+  app.add_option("--slower", slower, "all times of the lease, so many times as long")
+      ->check(CLI::Range(1, 100))
+      ->capture_default_str();
+  app.add_option("--load", load, "instead: measure the calls at Consul for so many seconds")
+      ->check(CLI::Range(1, 600));
+  app.add_flag("--no-fence", no_fence, "plant a bug: a store that takes any session's write");
+  app.add_flag("--quiet", quiet, "only what broke, and the sum");
+  app.add_flag("--events", events, "what the store saw of each schedule");
+  CLI11_PARSE(app, argc, argv);
+  settings.fence = !no_fence;
+  LabTiming& t = settings.timing;
+  for (int* each : {&t.ttl, &t.renew, &t.margin, &t.lock_delay, &t.call, &t.retry, &t.spread, &t.wait})
+    *each *= slower;
+  try {
+    if (load > 0) return measure_load(settings, load);
+    std::vector<microseconds> spans;
+    std::size_t broken = 0, stuck = 0, refused = 0, written = 0, lapses = 0, messages = 0;
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+      settings.seed = seed;
+      const std::vector<Fault> faults = draw_faults(seed, settings.faults, settings.relays, settings.timing);
+      FleetLab lab(settings);
+      const History history = lab.run(faults);
+      const std::string what = breach(history);
+      using Kind = fennellane::standin::StoreEvent::Kind;
+      for (const auto& e : history.store) {
+        refused += e.kind == Kind::refused ? 1 : 0;
+        written += e.kind == Kind::written ? 1 : 0;
+        lapses += e.kind == Kind::lost ? 1 : 0;
+      }
+      messages += history.taken.size();
+      if (events) print_faults(faults);
+      if (events) print_events(history);
+      for (const microseconds span : failovers(history)) spans.push_back(span);
+      broken += what.empty() ? 0 : 1;
+      stuck += lab.recovered() ? 0 : 1;
+      if (!what.empty() || !lab.recovered()) {
+        std::printf("seed %llu: %s%s\n", static_cast<unsigned long long>(seed),
+                    what.empty() ? "" : what.c_str(), lab.recovered() ? "" : " (not recovered in time)");
+        print_faults(faults);
+      } else if (!quiet) {
+        std::printf("seed %llu: kept\n", static_cast<unsigned long long>(seed));
+      }
+      std::fflush(stdout);
+    }
+    std::printf(
+        "%llu schedules, %zu broken, %zu not recovered; %zu lapses, %zu writes taken, %zu refused, %zu "
+        "messages; "
+        "lapse to the next owner's first write: p50 %.0f ms, p99 %.0f ms, most %.0f ms (%zu)\n",
+        static_cast<unsigned long long>(count), broken, stuck, lapses, written, refused, messages,
+        ms_at(spans, 0.5), ms_at(spans, 0.99), ms_at(spans, 1), spans.size());
+    return broken + stuck > 0 ? 1 : 0;
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "%s\n", e.what());
+    return 1;
+  }
+}
--- a/tools/standin/consul_store.cpp
+++ b/tools/standin/consul_store.cpp
@@ -116,7 +116,8 @@
 
 void ConsulStore::note(StoreEvent::Kind kind, SteadyTime at, const std::string& key,
                        const std::string& session, std::uint64_t lock_index, const std::string& value) {
-  events_.push_back({kind, at, key, session, lock_index, value});
+  const auto it = keys_.find(key);
+  events_.push_back({kind, at, key, session, lock_index, value, it == keys_.end() ? "" : it->second.session});
 }
 
 StoreAnswer ConsulStore::handle(SteadyTime now, const StoreRequest& r) {
@@ -500,7 +501,7 @@
   }
   if (verb == "check-session") {
     if (it == keys_.end()) return "failed to check session of key \"" + key + "\", key doesn't exist";
-    if (it->second.session != session || session.empty())
+    if (rules_.fence && (it->second.session != session || session.empty()))
       return "failed session check for key \"" + key + "\"";
     return result();
   }
--- a/tools/standin/consul_store.hpp
+++ b/tools/standin/consul_store.hpp
@@ -48,6 +48,7 @@
   Milliseconds most_ttl = std::chrono::hours(24);
   Milliseconds most_lock_delay = std::chrono::seconds(60);
   double ttl_slack = 2;  // a session ends so many times its TTL after its newest renew: 1 to 2
+  bool fence = true;     // false: a planted bug, check-session holds for everybody
 };
 
 struct StoreRequest {
@@ -69,7 +70,8 @@
   std::string key;      // of a lock, or of the lock that a transaction names with check-session
   std::string session;  // whose
   std::uint64_t lock_index = 0;
-  std::string value;  // of the lock's key: who holds it; of a transaction, its body
+  std::string value;   // of the lock's key: who holds it; of a transaction, its body
+  std::string holder;  // the session that holds the lock then
 };
 
 class ConsulStore {
--- a/tools/standin/partner.cpp
+++ b/tools/standin/partner.cpp
@@ -30,6 +30,8 @@
   char piece[4096];
   asio::error_code error;
   std::chrono::steady_clock::time_point first;
+  const auto peer = socket->remote_endpoint(error);
+  const std::string from = error ? "" : peer.address().to_string();
   while (true) {
     const std::size_t n = socket->read_some(asio::buffer(piece), error);
     if (error) return;
@@ -40,7 +42,7 @@
       if (reader.failed()) return;
       if (!reader.done()) continue;
       std::unique_lock lock(mutex_);
-      calls_.push_back({std::string(reader.header("x-call-id").value_or("")), first});
+      calls_.push_back({std::string(reader.header("x-call-id").value_or("")), from, first});
       if (stopped_.wait_for(lock, answers_after_, [this] { return stopping_; })) return;
       lock.unlock();
       reader.reset();
--- a/tools/standin/partner.hpp
+++ b/tools/standin/partner.hpp
@@ -16,6 +16,7 @@
 
 struct PartnerCall {
   std::string id;
+  std::string from;  // the address that the call came from
   std::chrono::steady_clock::time_point first_byte;
 };
 
--- a/tools/standin/relay_process.cpp
+++ b/tools/standin/relay_process.cpp
@@ -84,7 +84,10 @@
   ::waitpid(std::exchange(pid_, 0), &status, 0);
   return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
-void RelayProcess::signal(int number) const { ::kill(pid_, number); }
+// Guards the caller's own process group against a signal to a process that has ended.
+void RelayProcess::signal(int number) const {
+  if (pid_ > 0) ::kill(pid_, number);
+}
 bool RelayProcess::runs() const { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
 
 std::string RelayProcess::log() const {
@@ -102,7 +105,7 @@
 std::uint64_t RelayProcess::counter(const std::string& name) const {
   const std::size_t before = logged("counters clients");
   signal(SIGUSR1);
-  happens([&] { return logged("counters clients") > before; });
+  if (pid_ > 0) happens([&] { return logged("counters clients") > before; });
   const std::string all = log();
   const std::size_t at = all.find(" " + name + "=", all.rfind("counters clients"));
   return at == std::string::npos ? 0 : std::stoull(all.substr(at + name.size() + 2));
