--- a/tools/harness/fleet_lab.cpp
+++ b/tools/harness/fleet_lab.cpp
@@ -190,6 +190,7 @@
     case Fault::Kind::late_write:
       // The look before the write goes out and its answer waits; let in, it finds the way out closed.
       m.to_consul->set(PathFault::hold_down);
+      leave_registration();  // so that there is something to write
       std::this_thread::sleep_for(milliseconds(settings_.timing.call / 2));
       m.to_consul->set(PathFault::hold_up);
       break;
@@ -266,7 +267,7 @@
       } else if (!busy[relay]) {
         begin(f, relay);
         busy[relay] = true;
-        standing.push_back({f, relay, now + f.span});
+        standing.push_back({f, relay, steady_clock::now() + f.span});
       }
     }
     if (settings_.messages && now - last_offer > milliseconds(15)) {
