--- a/src/consul/agent_call.cpp
+++ b/src/consul/agent_call.cpp
@@ -1,15 +1,29 @@
 #include "agent_call.hpp"
 
 #include <algorithm>
+#include <sstream>
 
 #include "clock.hpp"
 #include "number.hpp"
 
 namespace fennellane {
 
+std::optional<Json::Value> json_of(const std::string& body) {
+  Json::CharReaderBuilder builder;
+  builder["stackLimit"] = 32;
+  Json::Value value;
+  std::string errors;
+  std::istringstream in(body);
+  try {
+    if (Json::parseFromStream(builder, in, &value, &errors)) return value;
+  } catch (const Json::Exception&) {
+  }
+  return std::nullopt;
+}
+
 AgentCall::AgentCall(asio::io_context& io, const ConsulSettings& settings, const Limits& limits,
-                     std::size_t most_body)
-    : settings_(settings), client_(io, settings.agent, limits, most_body) {}
+                     std::size_t most_body, std::size_t most_text)
+    : settings_(settings), client_(io, settings.agent, limits, most_body, most_text) {}
 
 asio::awaitable<AgentAnswer> AgentCall::ask(std::string method, std::string target, std::string body,
                                             Time limit) {
--- a/src/consul/agent_call.hpp
+++ b/src/consul/agent_call.hpp
@@ -2,9 +2,12 @@
 // every call has one span of time for all of it.
 #pragma once
 
+#include <json/json.h>
+
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "client.hpp"
@@ -18,11 +21,15 @@
   std::string body;
 };
 
+// What an answer's body holds; nothing where it is no JSON, or nested deeper than any of Consul's.
+std::optional<Json::Value> json_of(const std::string& body);
+
 class AgentCall {
  public:
-  // `settings` must outlive it; answers of more than `most_body` bytes count as none.
-  AgentCall(asio::io_context& io, const ConsulSettings& settings, const Limits& limits,
-            std::size_t most_body);
+  // `settings` must outlive it; answers of more than `most_body` bytes count as none, and calls of more than
+  // `most_text` are not sent (0 = the usual).
+  AgentCall(asio::io_context& io, const ConsulSettings& settings, const Limits& limits, std::size_t most_body,
+            std::size_t most_text = 0);
 
   asio::awaitable<AgentAnswer> ask(std::string method, std::string target, std::string body, Time limit);
   void close() { client_.close(); }
--- a/src/consul/fleet_agent.cpp
+++ b/src/consul/fleet_agent.cpp
@@ -1,13 +1,11 @@
 #include "fleet_agent.hpp"
 
-#include <json/json.h>
-
 #include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/post.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
-#include <sstream>
+#include <cereal/external/base64.hpp>
 #include <utility>
 
 #include "clock.hpp"
@@ -26,13 +24,9 @@
 // Calls `read` with what the text holds; false where it is no JSON or not of the shape that `read` expects.
 template <class Read>
 bool with_json(const std::string& text, Read read) {
-  Json::CharReaderBuilder builder;
-  builder["stackLimit"] = 32;
-  Json::Value value;
-  std::string errors;
-  std::istringstream in(text);
+  const std::optional<Json::Value> value = json_of(text);
   try {
-    return Json::parseFromStream(builder, in, &value, &errors) && read(value);
+    return value && read(*value);
   } catch (const Json::Exception&) {
     return false;
   }
@@ -118,6 +112,42 @@
   return json_text(operations);
 }
 
+// The two values, both JSON: the head, and beside the list the list itself.
+bool read_shared(const std::string& body, fleet::SharedHead& head, std::string& list) {
+  return with_json(body, [&](const Json::Value& v) {
+    head = {v["token"].asUInt64(), v["beat"].asUInt64(), v["version"].asUInt64(), v["source"].asString()};
+    list = v["list"].asString();
+    return v["token"].isUInt64() && v["version"].isUInt64();
+  });
+}
+
+std::string share_json(const std::string& role, const std::string& list, const std::string& beat,
+                       const fleet::Publish& publish) {
+  Json::Value operations(Json::arrayValue), head;
+  head["token"] = Json::UInt64(publish.head.token);
+  head["beat"] = Json::UInt64(publish.head.beat);
+  head["version"] = Json::UInt64(publish.head.version);
+  head["source"] = publish.head.source;
+  const auto add = [&operations](const char* verb, const std::string& key) -> Json::Value& {
+    Json::Value operation;
+    operation["KV"]["Verb"] = verb;
+    operation["KV"]["Key"] = key;
+    return operations.append(operation)["KV"];
+  };
+  const auto set = [&](const std::string& key, const Json::Value& value) {
+    const std::string text = json_text(value);
+    add("set", key)["Value"] =
+        cereal::base64::encode(reinterpret_cast<const unsigned char*>(text.data()), text.size());
+  };
+  add("check-session", role)["Session"] = publish.session;
+  set(beat, head);
+  if (publish.text) {
+    head["list"] = *publish.text;
+    set(list, head);
+  }
+  return json_text(operations);
+}
+
 FleetAgent::FleetAgent(asio::io_context& io, const ConsulSettings& consul, const FleetSettings& settings,
                        const std::string& relay, const Limits& limits, Counters& counters, Log& log,
                        Tell tell)
@@ -130,25 +160,17 @@
       log_(log),
       tell_(std::move(tell)),
       work_(io, consul_, limits, limits.fleet_answer),
-      work_due_(io) {
+      work_due_(io),
+      shares_(io, consul_, limits, limits.body, limits.fleet_list * 3 / 2),
+      lists_(io, consul_, limits, limits.fleet_list * 2),
+      refresh_due_(io) {
   for (const std::string& role : settings_.roles)
     roles_.push_back(std::make_unique<Role>(io, consul_, limits, role, role_key(settings_, role)));
 }
 
 void FleetAgent::start() {
-  for (std::uint32_t i = 0; i < roles_.size(); ++i) {
-    spawn([this, i] { return watch(i); });
-  }
-}
-
-void FleetAgent::stop() {
-  stopped_ = true;
-  for (const auto& role : roles_) {
-    role->reads.close();
-    role->pause.cancel();
-    role->due.cancel();
-  }
-  work_due_.cancel();
+  for (std::uint32_t i = 0; i < roles_.size(); ++i) watch_role(i);
+  if (has_role(settings_, fleet::kRefreshRole)) watch_beat();
 }
 
 void FleetAgent::carry(const fleet::Effect& effect) {
@@ -163,17 +185,20 @@
 }
 
 // In a turn of its own: an answer may be there before the effects of this input have been carried out.
-void FleetAgent::hear(std::uint32_t role, lease::Input input) {
-  asio::post(io_, [self = shared_from_this(), role, heard = std::move(input)]() mutable {
-    self->tell_(fleet::LeaseHeard{role, std::move(heard)});
+void FleetAgent::tell_later(fleet::Input input) {
+  asio::post(io_, [self = shared_from_this(), heard = std::move(input)]() mutable {
+    self->tell_(std::move(heard));
   });
 }
+void FleetAgent::hear(std::uint32_t role, lease::Input input) {
+  tell_later(fleet::LeaseHeard{role, std::move(input)});
+}
 
 void FleetAgent::set(asio::steady_timer& timer, Time at, std::function<fleet::Input()> due) {
   timer.expires_at(steady_moment(at));
   timer.async_wait([weak = weak_from_this(), what = std::move(due)](asio::error_code error) {
     const auto self = weak.lock();
-    if (!error && self && !self->stopped_) self->tell_(what());
+    if (!error && self) self->tell_(what());
   });
 }
 
@@ -252,44 +277,104 @@
   set(roles_[role]->due, e.at, [role] { return fleet::Input(fleet::LeaseHeard{role, lease::TimeDue{}}); });
 }
 
-// The blocking read of a role's key. After any trouble it begins without an index, and from the leader.
-asio::awaitable<void> FleetAgent::watch(std::uint32_t role) {
-  Role& r = *roles_[role];
+// The blocking read of a key. After any trouble it begins without an index, and from the leader.
+asio::awaitable<void> FleetAgent::watch(std::shared_ptr<Watch> w) {
   std::uint64_t index = 0, newest = 0;
   Time backoff = limits_.backoff_least;
-  while (!stopped_) {
+  while (true) {
     const bool waits = index > 0;
-    const std::string query = waits ? "?index=" + std::to_string(index) + "&wait=" + ms_text(settings_.wait)
-                                    : std::string("?consistent");
+    const std::string query = waits ? "index=" + std::to_string(index) + "&wait=" + ms_text(settings_.wait)
+                                    : std::string("consistent");
     // An agent adds up to a 16th to the time it was asked to wait.
     const Time limit = settings_.timing.call + (waits ? settings_.wait + settings_.wait / 16 : Time(0));
     ++counters_.lease_reads;
-    const AgentAnswer answer = co_await r.reads.ask("GET", "/v1/kv/" + r.key + query, "", limit);
-    if (stopped_) break;
-    lease::KeySeen seen;
-    const bool good =
-        answer.index > 0 && (answer.status == 404 || (answer.status == 200 && read_key(answer.body, seen)));
-    if (!good) {
+    const AgentAnswer answer =
+        co_await w->reads.ask("GET", "/v1/kv/" + w->key + (w->raw ? "?raw&" : "?") + query, "", limit);
+    const bool answered = answer.index > 0 && (answer.status == 200 || answer.status == 404);
+    // An index that goes backwards is asked for once more, from the leader, before it is believed.
+    if (answered && waits && answer.index < index) {
       index = 0;
-      r.reads.close();
-      r.pause.expires_after(backoff);
-      asio::error_code cut_short;
-      co_await r.pause.async_wait(asio::redirect_error(asio::use_awaitable, cut_short));
-      backoff = std::min(backoff * 2, limits_.backoff_most);
       continue;
     }
-    backoff = limits_.backoff_least;
-    // An index that goes backwards is asked for once more, from the leader, before it is believed.
-    if (waits && answer.index < index) {
+    if (!answered || !w->take(answer, answer.index < newest)) {
       index = 0;
+      w->reads.close();
+      w->pause.expires_after(backoff);
+      asio::error_code cut_short;
+      co_await w->pause.async_wait(asio::redirect_error(asio::use_awaitable, cut_short));
+      backoff = std::min(backoff * 2, limits_.backoff_most);
       continue;
     }
-    seen.index = answer.index;
-    seen.afresh = answer.index < newest;
+    backoff = limits_.backoff_least;
     index = newest = answer.index;
+  }
+}
+
+void FleetAgent::watch_role(std::uint32_t role) {
+  auto w = std::make_shared<Watch>(io_, consul_, limits_, roles_[role]->key);
+  w->take = [this, role](const AgentAnswer& answer, bool afresh) {
+    lease::KeySeen seen;
+    if (answer.status == 200 && !read_key(answer.body, seen)) return false;
+    seen.index = answer.index;
+    seen.afresh = afresh;
     hear(role, std::move(seen));
+    return true;
+  };
+  spawn([this, w] { return watch(w); });
+}
+
+// --- The shared list
+void FleetAgent::watch_beat() {
+  auto w = std::make_shared<Watch>(io_, consul_, limits_, beat_key());
+  w->raw = true;
+  w->take = [this](const AgentAnswer& answer, bool afresh) {
+    fleet::BeatSeen seen{std::nullopt, afresh};
+    if (answer.status == 200) {
+      fleet::SharedHead head;
+      std::string ignored;
+      if (!read_shared(answer.body, head, ignored)) return false;
+      seen.beat = std::move(head);
+    }
+    tell_later(fleet::RefreshHeard{std::move(seen)});
+    return true;
+  };
+  spawn([this, w] { return watch(w); });
+}
+
+void FleetAgent::on(const fleet::RefreshDo& e) {
+  if (const auto* publish = std::get_if<fleet::Publish>(&e.effect)) return carry(*publish);
+  if (std::holds_alternative<fleet::ReadList>(e.effect)) return read_list();
+  if (const auto* timer = std::get_if<fleet::SetRefreshTimer>(&e.effect)) {
+    return set(refresh_due_, timer->at,
+               [] { return fleet::Input(fleet::RefreshHeard{fleet::RefreshDue{}}); });
   }
-  r.reads.close();
+  if (const auto* said = std::get_if<fleet::RefreshSaid>(&e.effect)) log_("refresh", said->text);
+}
+
+void FleetAgent::carry(const fleet::Publish& e) {
+  spawn([this, e]() -> asio::awaitable<void> {
+    using How = fleet::Published::How;
+    fleet::Published published{e.head.token, How::failed};
+    if (e.text && e.text->size() > limits_.fleet_list) {
+      log_("refresh", "the list is too long to be shared: " + std::to_string(e.text->size()) + " bytes");
+    } else {
+      const std::string body =
+          share_json(role_key(settings_, fleet::kRefreshRole), list_key(), beat_key(), e);
+      const AgentAnswer answer = co_await shares_.ask("PUT", "/v1/txn", body, settings_.timing.call);
+      published.how = answer.status == 200 ? How::taken : answer.status == 409 ? How::refused : How::failed;
+    }
+    tell_later(fleet::RefreshHeard{published});
+  });
+}
+
+void FleetAgent::read_list() {
+  spawn([this]() -> asio::awaitable<void> {
+    fleet::ListSeen seen;
+    const AgentAnswer answer =
+        co_await lists_.ask("GET", "/v1/kv/" + list_key() + "?raw&consistent", "", settings_.timing.call);
+    seen.good = answer.status == 200 && read_shared(answer.body, seen.head, seen.text);
+    tell_later(fleet::RefreshHeard{std::move(seen)});
+  });
 }
 
 // --- The sweep
@@ -304,7 +389,7 @@
     fleet::RegistrationsRead read{token, false, {}};
     read.good = answer.status == 200 && read_registrations(answer.body, read.all);
     if (!read.good) read.all.clear();
-    asio::post(io_, [self = shared_from_this(), read = std::move(read)] { self->tell_(read); });
+    tell_later(std::move(read));
   });
 }
 
@@ -315,8 +400,7 @@
         co_await work_.ask("PUT", "/v1/txn", removal_json(key, e), settings_.timing.call);
     using How = fleet::RegistrationsRemoved::How;
     const How how = answer.status == 200 ? How::taken : answer.status == 409 ? How::refused : How::failed;
-    const fleet::RegistrationsRemoved removed{e.token, how};
-    asio::post(io_, [self = shared_from_this(), removed] { self->tell_(removed); });
+    tell_later(fleet::RegistrationsRemoved{e.token, how});
   });
 }
 
--- a/src/consul/fleet_agent.hpp
+++ b/src/consul/fleet_agent.hpp
@@ -27,6 +27,11 @@
 // One transaction: the role's lock is this session's, then each registration goes as it was read.
 std::string removal_json(const std::string& key, const fleet::RemoveRegistrations& removal);
 
+// The two values of the shared list; `list` stays empty for the beat.
+bool read_shared(const std::string& body, fleet::SharedHead& head, std::string& list);
+std::string share_json(const std::string& role, const std::string& list, const std::string& beat,
+                       const fleet::Publish& publish);
+
 class FleetAgent : public std::enable_shared_from_this<FleetAgent> {
  public:
   using Tell = std::function<void(fleet::Input)>;
@@ -34,22 +39,26 @@
              const std::string& relay, const Limits& limits, Counters& counters, Log& log, Tell tell);
 
   void start();
-  void stop();  // no call begins after it
   void carry(const fleet::Effect& effect);
 
  private:
   struct Role {
     Role(asio::io_context& io, const ConsulSettings& consul, const Limits& limits, std::string role,
          std::string role_key)
-        : name(std::move(role)),
-          key(std::move(role_key)),
-          calls(io, consul, limits, limits.body),
-          reads(io, consul, limits, limits.body),
-          due(io),
-          pause(io) {}
+        : name(std::move(role)), key(std::move(role_key)), calls(io, consul, limits, limits.body), due(io) {}
     const std::string name, key;
-    AgentCall calls, reads;  // the lease's calls, one at a time, and the blocking read
-    asio::steady_timer due, pause;
+    AgentCall calls;  // the lease's, one at a time
+    asio::steady_timer due;
+  };
+  struct Watch {  // a blocking read of one key, again and again
+    Watch(asio::io_context& io, const ConsulSettings& consul, const Limits& limits, std::string of)
+        : key(std::move(of)), reads(io, consul, limits, limits.body), pause(io) {}
+    const std::string key;
+    bool raw = false;  // the value alone, not what Consul says of it
+    AgentCall reads;
+    asio::steady_timer pause;
+    // False: the answer is none that can be read. `afresh`: Consul's index has gone backwards.
+    std::function<bool(const AgentAnswer&, bool afresh)> take;
   };
 
   void on(const fleet::LeaseDo& e);
@@ -65,7 +74,15 @@
   void carry(std::uint32_t role, const lease::Stop& e);
   void carry(std::uint32_t role, const lease::SetTimer& e);
   void carry(std::uint32_t role, const lease::Say& e);
-  asio::awaitable<void> watch(std::uint32_t role);
+  void on(const fleet::RefreshDo& e);
+  void carry(const fleet::Publish& e);
+  void read_list();
+  void watch_role(std::uint32_t role);
+  void watch_beat();
+  asio::awaitable<void> watch(std::shared_ptr<Watch> w);
+  std::string list_key() const { return settings_.prefix + "/refresh/list"; }
+  std::string beat_key() const { return settings_.prefix + "/refresh/beat"; }
+  void tell_later(fleet::Input input);
   void hear(std::uint32_t role, lease::Input input);
   template <class Run>
   void spawn(Run run);
@@ -82,7 +99,8 @@
   std::vector<std::unique_ptr<Role>> roles_;
   AgentCall work_;
   asio::steady_timer work_due_;
-  bool stopped_ = false;
+  AgentCall shares_, lists_;  // writes and reads of the shared list
+  asio::steady_timer refresh_due_;
 };
 
 }  // namespace fennellane
--- a/src/consul/owners.cpp
+++ b/src/consul/owners.cpp
@@ -1,28 +1,16 @@
 #include "owners.hpp"
 
-#include <json/json.h>
-
 #include <asio/co_spawn.hpp>
 #include <iomanip>
-#include <sstream>
 
 #include "agent_call.hpp"
 
 namespace fennellane {
 namespace {
 
-Json::Value read(const std::string& text) {
-  Json::CharReaderBuilder builder;
-  Json::Value value;
-  std::string errors;
-  std::istringstream in(text);
-  if (!Json::parseFromStream(builder, in, &value, &errors)) return {};
-  return value;
-}
-
 // A session's name is "RELAY ROLE".
 std::string relay_of(const AgentAnswer& info) {
-  const Json::Value list = read(info.body);
+  const Json::Value list = json_of(info.body).value_or(Json::Value());
   if (info.status != 200 || !list.isArray() || list.empty()) return "?";
   const std::string name = list[0].get("Name", "?").asString();
   return name.substr(0, name.rfind(' '));
@@ -37,7 +25,7 @@
     trouble = "no role has ever been held below " + below;
     co_return;
   }
-  const Json::Value list = read(keys.body);
+  const Json::Value list = json_of(keys.body).value_or(Json::Value());
   if (keys.status != 200 || !list.isArray()) {
     trouble = "Consul has not answered, status " + std::to_string(keys.status);
     co_return;
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -51,6 +51,9 @@
     add("lease.given_up", f->given_up);
     add("sweep.removed", f->swept);
     add("sweep.refused", f->sweeps_refused);
+    add("refresh.shared", f->lists_shared);
+    add("refresh.refused", f->shares_refused);
+    add("refresh.followed", f->lists_followed);
   }
   add("journal.held", j.held);
   add("journal.bytes", j.bytes);
--- a/src/core/limits.hpp
+++ b/src/core/limits.hpp
@@ -25,6 +25,8 @@
   std::size_t consul_answer = 32 * 1024 * 1024;  // one answer, read piece by piece
   std::size_t consul_host = 64 * 1024;           // one host's part of it
   std::size_t fleet_answer = 8 * 1024 * 1024;    // the relays' own registrations, or all roles' keys
+  // The list that is shared: Consul takes 512 KiB in one transaction, and a third of it is what base64 adds.
+  std::size_t fleet_list = 360 * 1024;
 
   // Counts.
   std::size_t downstream_connections = 0;
--- a/src/fleet/fleet_memory.hpp
+++ b/src/fleet/fleet_memory.hpp
@@ -10,7 +10,8 @@
 void Fleet::remember(Archive& archive) {
   for (lease::Lease& lease : leases_) lease.remember(archive);
   archive(counts_.acquired, counts_.renews_missed, counts_.lapsed, counts_.lost, counts_.given_up,
-          counts_.swept, counts_.sweeps_refused);
+          counts_.swept, counts_.sweeps_refused, counts_.lists_shared, counts_.shares_refused,
+          counts_.lists_followed);
 }
 
 }  // namespace fennellane::fleet
--- a/src/fleet/roles.cpp
+++ b/src/fleet/roles.cpp
@@ -7,9 +7,14 @@
 Fleet::Fleet(const Plan& plan) : roles_(plan.roles) {
   for (std::uint32_t i = 0; i < roles_.size(); ++i) {
     leases_.emplace_back(plan.timing, plan.seed + i * 1'000'003);
-    if (roles_[i] != kSweepRole || !plan.sweep) continue;
-    sweep_role_ = i;
-    sweep_.emplace(*plan.sweep);
+    if (roles_[i] == kSweepRole && plan.sweep) {
+      sweep_role_ = i;
+      sweep_.emplace(*plan.sweep);
+    }
+    if (roles_[i] == kRefreshRole && plan.refresh) {
+      refresh_role_ = i;
+      refresh_.emplace(*plan.refresh, plan.seed);
+    }
   }
 }
 
@@ -32,10 +37,44 @@
       sweep_->begin();
       work_later(now, out);
     }
+    const auto* const act = std::get_if<lease::Act>(&effect);
+    Refresh::Effects of_refresh;
+    if (role == refresh_role_ && act)
+      of_refresh = refresh_->acts(now, act->token, leases_[role].session());
+    else if (role == refresh_role_ && std::holds_alternative<lease::Stop>(effect))
+      of_refresh = refresh_->stops(now);
     out.emplace_back(LeaseDo{role, std::move(effect)});
+    refresh(now, std::move(of_refresh), out);
   }
 }
 
+void Fleet::refresh(Time now, Refresh::Effects effects, Effects& out) {
+  for (RefreshEffect& effect : effects) {
+    if (std::holds_alternative<StepDown>(effect)) {
+      // Sought again at once, but behind those that wait for it.
+      tell(now, *refresh_role_, lease::Unwant{}, out);
+      tell(now, *refresh_role_, lease::Want{}, out);
+      continue;
+    }
+    // Guards against a list shared on behalf of a role whose lease has run out unheard.
+    if (const auto* p = std::get_if<Publish>(&effect); p && !leases_[*refresh_role_].may_act(now)) {
+      refresh_->handle(now, Published{p->head.token, Published::How::failed});
+      continue;
+    }
+    counts_.lists_followed += std::holds_alternative<TakeList>(effect) ? 1 : 0;
+    out.emplace_back(RefreshDo{std::move(effect)});
+  }
+}
+
+void Fleet::on(Time now, const RefreshHeard& heard, Effects& out) {
+  if (!refresh_) return;
+  if (const auto* p = std::get_if<Published>(&heard.input)) {
+    counts_.lists_shared += p->how == Published::How::taken ? 1 : 0;
+    counts_.shares_refused += p->how == Published::How::refused ? 1 : 0;
+  }
+  refresh(now, refresh_->handle(now, heard.input), out);
+}
+
 void Fleet::work_later(Time at, Effects& out) { out.emplace_back(SetWorkTimer{at}); }
 
 const lease::Lease* Fleet::sweeping(Time now, Token token) const {
@@ -60,16 +99,22 @@
   if (!sweep_role_) return;
   const lease::Lease& lease = leases_[*sweep_role_];
   // A lapse that a renew ends has Act come again, and the work with it.
-  if (lease.may_act(now)) out.emplace_back(ReadRegistrations{*lease.token()});
+  // One at a time: the answer to the one that is out takes the work up again.
+  if (!lease.may_act(now) || working_) return;
+  working_ = true;
+  out.emplace_back(ReadRegistrations{*lease.token()});
 }
 
 void Fleet::on(Time now, const RegistrationsRead& read, Effects& out) {
+  working_ = false;
   const lease::Lease* const lease = sweeping(now, read.token);
-  if (!lease) return;  // read on behalf of a role that is over
+  // Read on behalf of a role that is over; it may have been taken up anew since.
+  if (!lease) return work_later(now, out);
   if (read.good) {
     std::vector<Registration> stale = sweep_->look(now, read.all);
     if (!stale.empty()) {
       removing_ = stale.size();
+      working_ = true;
       out.emplace_back(RemoveRegistrations{lease->session(), read.token, std::move(stale)});
       return;
     }
@@ -78,6 +123,7 @@
 }
 
 void Fleet::on(Time now, const RegistrationsRemoved& removed, Effects& out) {
+  working_ = false;
   if (removed.how == RegistrationsRemoved::How::taken) {
     counts_.swept += removing_;
     out.emplace_back(Swept{std::to_string(removing_) + " stale registrations removed, token " +
@@ -88,8 +134,8 @@
                            std::to_string(removed.token)});
   }
   // There may be more than one transaction holds.
-  if (sweeping(now, removed.token))
-    work_later(removed.how == RegistrationsRemoved::How::taken ? now : now + sweep_->every(), out);
+  const bool at_once = removed.how == RegistrationsRemoved::How::taken || !sweeping(now, removed.token);
+  work_later(at_once ? now : now + sweep_->every(), out);
 }
 
 std::vector<Effect> Fleet::resume(Time now) {
@@ -98,12 +144,14 @@
     if (leases_[i].call_out()) {
       tell(now, i, lease::CallFailed{}, out);
     } else if (const auto timer = leases_[i].timer()) {
-      LeaseDo& again = std::get<LeaseDo>(out.emplace_back(LeaseDo{}));
-      again.role = i;
-      again.effect = lease::SetTimer{*timer};
+      out.emplace_back(LeaseDo{i, lease::SetTimer{*timer}});
     }
   }
   if (sweep_) work_later(now, out);
+  if (refresh_role_) {
+    const lease::Lease& lease = leases_[*refresh_role_];
+    if (lease.may_act(now)) refresh(now, refresh_->acts(now, *lease.token(), lease.session()), out);
+  }
   return out;
 }
 
--- a/src/fleet/roles.hpp
+++ b/src/fleet/roles.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "lease.hpp"
+#include "refresh.hpp"
 #include "sweep.hpp"
 
 namespace fennellane::fleet {
@@ -18,10 +19,12 @@
 struct Plan {
   std::vector<std::string> roles;
   lease::Timing timing;
-  std::optional<SweepSettings> sweep;  // where "sweep" is among them
+  std::optional<SweepSettings> sweep;      // where "sweep" is among them
+  std::optional<RefreshSettings> refresh;  // where "refresh" is
   std::uint64_t seed = 0;
 };
 inline constexpr const char* kSweepRole = "sweep";
+inline constexpr const char* kRefreshRole = "refresh";
 
 // --- Inputs
 struct Seek {};    // the relay is ready: its roles are sought
@@ -40,7 +43,11 @@
   enum class How : std::uint8_t { taken, refused, failed } how{};  // refused: not one operation took place
 };
 struct WorkDue {};  // the timer that SetWorkTimer asked for
-using Input = std::variant<Seek, Resign, LeaseHeard, RegistrationsRead, RegistrationsRemoved, WorkDue>;
+struct RefreshHeard {
+  RefreshInput input;
+};
+using Input =
+    std::variant<Seek, Resign, LeaseHeard, RegistrationsRead, RegistrationsRemoved, WorkDue, RefreshHeard>;
 
 // --- Effects
 struct LeaseDo {
@@ -62,11 +69,15 @@
 struct Swept {  // for the log
   std::string text;
 };
-using Effect = std::variant<LeaseDo, ReadRegistrations, RemoveRegistrations, SetWorkTimer, Swept>;
+struct RefreshDo {  // of all but StepDown, which ends at the lease
+  RefreshEffect effect;
+};
+using Effect = std::variant<LeaseDo, ReadRegistrations, RemoveRegistrations, SetWorkTimer, Swept, RefreshDo>;
 
 struct Counts {
   std::uint64_t acquired = 0, renews_missed = 0, lapsed = 0, lost = 0, given_up = 0;
   std::uint64_t swept = 0, sweeps_refused = 0;
+  std::uint64_t lists_shared = 0, shares_refused = 0, lists_followed = 0;
 };
 
 class Fleet {
@@ -78,6 +89,7 @@
   const std::vector<std::string>& roles() const { return roles_; }
   const lease::Lease& lease(std::uint32_t role) const { return leases_.at(role); }
   const Counts& counts() const { return counts_; }
+  bool follows() const { return refresh_ && refresh_->follows(); }  // the shared list
 
   // Of a process that takes over from another: the leases go on, what was under way is asked for again.
   template <class Archive>
@@ -92,6 +104,8 @@
   void on(Time now, const RegistrationsRead& read, Effects& out);
   void on(Time now, const RegistrationsRemoved& removed, Effects& out);
   void on(Time now, const WorkDue&, Effects& out);
+  void on(Time now, const RefreshHeard& heard, Effects& out);
+  void refresh(Time now, Refresh::Effects effects, Effects& out);
   void tell(Time now, std::uint32_t role, const lease::Input& input, Effects& out);
   void work_later(Time at, Effects& out);
   // The sweep's lease, where it may act with this token now.
@@ -101,6 +115,9 @@
   std::vector<lease::Lease> leases_;  // by role
   std::optional<std::uint32_t> sweep_role_;
   std::optional<Sweep> sweep_;
+  std::optional<std::uint32_t> refresh_role_;
+  std::optional<Refresh> refresh_;
+  bool working_ = false;      // a call of the sweep's is out
   std::size_t removing_ = 0;  // registrations, in the transaction that is out
   Counts counts_;
 };
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,6 @@
 #include "client.hpp"
 
+#include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
@@ -10,12 +11,13 @@
 auto into(asio::error_code& error) { return asio::redirect_error(asio::use_awaitable, error); }
 }  // namespace
 
-Client::Client(asio::io_context& io, const Address& address, const Limits& limits, std::size_t most_body)
+Client::Client(asio::io_context& io, const Address& address, const Limits& limits, std::size_t most_body,
+               std::size_t most_text)
     : socket_(io),
       timer_(io),
       address_(address),
       in_(limits.read_ring),
-      out_(limits.notice_batch + 1024),
+      out_(std::max(most_text, limits.notice_batch) + 1024),
       answer_(HttpReader::Kind::response, limits.head, most_body) {}
 
 void Client::arm(Time limit) {
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -26,7 +26,9 @@
 
 class Client {
  public:
-  Client(asio::io_context& io, const Address& address, const Limits& limits, std::size_t most_body);
+  // `most_text`: of one request; 0 = the usual.
+  Client(asio::io_context& io, const Address& address, const Limits& limits, std::size_t most_body,
+         std::size_t most_text = 0);
 
   asio::awaitable<bool> connect(Time limit);
   asio::awaitable<bool> send(std::string text, Time limit);
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -103,6 +103,7 @@
     const bool good = co_await client_.read(limits.discovery_silence);
     if (!good) co_return any;
     if (client_.answer().head_done() && client_.answer().status() != 200) co_return false;
+    if (client_.answer().head_done() && on_heard_ && !stopped_) on_heard_();
     text += client_.answer().take_body();
     std::size_t start = 0;
     for (std::size_t end; (end = text.find('\n', start)) != std::string::npos; start = end + 1) {
--- a/src/platform/discovery.hpp
+++ b/src/platform/discovery.hpp
@@ -4,6 +4,7 @@
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 
 #include "client.hpp"
@@ -24,6 +25,8 @@
   // This relay has the whole list of that version, from an earlier life: the watch begins there, and the list
   // is not asked for. Before `start`.
   void know(std::uint64_t version);
+  // Called whenever the watch has brought something, be it an empty line. Before `start`.
+  void on_heard(std::function<void()> heard) { on_heard_ = std::move(heard); }
   // Discovery is at another address now: its versions are of its own, so the whole list is fetched anew. The
   // list that is held stands until then.
   void redirect(const Address& address);
@@ -43,6 +46,7 @@
   Counters& counters_;
   Log& log_;
   OnList on_list_;
+  std::function<void()> on_heard_;  // may be none
   Address address_;
   Client client_;
   asio::steady_timer pause_;  // between two connections
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -137,7 +137,46 @@
 }
 void Relay::carry(Say& e) { log_("module", e.text); }
 
-void Relay::carry(FleetDo& e) { fleet_->carry(e.effect); }
+void Relay::carry(FleetDo& e) {
+  const auto* const refresh = std::get_if<fleet::RefreshDo>(&e.effect);
+  if (!refresh) return fleet_->carry(e.effect);
+  if (const auto* start = std::get_if<fleet::StartOwn>(&refresh->effect)) return carry(*start);
+  if (const auto* stop = std::get_if<fleet::StopOwn>(&refresh->effect)) return carry(*stop);
+  if (const auto* list = std::get_if<fleet::TakeList>(&refresh->effect)) return carry(*list);
+  fleet_->carry(e.effect);
+}
+
+// --- The list that one relay watches for all
+void Relay::carry(const fleet::StartOwn& e) {
+  discovery_ = std::make_shared<Discovery>(io_, config_, discovery_address_, counters_, log_,
+                                           [this](HostList list, bool) { take_own(std::move(list)); });
+  discovery_->on_heard([this] { hear(fleet::OwnHeard{}); });
+  if (e.known) discovery_->know(*e.known);
+  discovery_->start();
+}
+void Relay::carry(const fleet::StopOwn&) {
+  if (const auto own = std::exchange(discovery_, nullptr)) own->stop();
+}
+void Relay::carry(const fleet::TakeList& e) {
+  try {
+    HostList list = parse_hosts(e.text, config_.boot);
+    whole_.take(list);
+    take_list(std::move(list), e.cached);
+  } catch (const ConfigError& error) {
+    log_("refresh", std::string("the shared list cannot be used: ") + error.what());
+  }
+}
+// As all relays of the fleet know it.
+std::string Relay::discovery_name() const {
+  const std::string& name = config_.fleet->discovery;
+  return name.empty() ? discovery_address_.text() : name;
+}
+void Relay::take_own(HostList list) {
+  whole_.take(list);
+  const std::uint64_t version = list.version;
+  take_list(std::move(list), false);
+  if (whole_.known()) hear(fleet::OwnList{version, hosts_json(whole_.whole(), config_.boot)});
+}
 
 // What this relay may do on behalf of the whole fleet: sought once it is ready, given up when it stops.
 void Relay::join_fleet() {
@@ -146,8 +185,9 @@
   fleet_ =
       std::make_shared<FleetAgent>(io_, *config_.consul, wanted, config_.name, config_.limits, counters_,
                                    log_, [this](fleet::Input heard) { input(FleetHeard{std::move(heard)}); });
-  fleet::Plan plan{wanted.roles, wanted.timing, std::nullopt, config_.seed};
+  fleet::Plan plan{wanted.roles, wanted.timing, std::nullopt, std::nullopt, config_.seed};
   if (!wanted.sweep.service.empty()) plan.sweep = wanted.sweep;
+  if (has_role(wanted, fleet::kRefreshRole)) plan.refresh = wanted.refresh;
   input(FleetPlanned{std::move(plan)});
   fleet_->start();
   if (ready_) input(FleetHeard{fleet::Seek{}});
@@ -166,10 +206,11 @@
 }
 
 void Relay::set_ready() {
-  if (!std::exchange(ready_, true)) record_.note(record::Kind::ready, 0, 0);
+  const bool first = !std::exchange(ready_, true);
+  if (first) record_.note(record::Kind::ready, 0, 0);
   downstream_.set_ready();
   if (consul_) consul_->set_ready();
-  if (fleet_) input(FleetHeard{fleet::Seek{}});
+  if (first && fleet_ && !stopping_) input(FleetHeard{fleet::Seek{}});
 }
 
 void Relay::take_list(HostList list, bool cached) {
@@ -187,9 +228,18 @@
   const auto inherit = [this, &wanted](auto& source) {
     if (inherited_source_ == wanted.source && !inherited_watch_.empty()) source.load(inherited_watch_);
   };
+  if (shares_list() && wanted.source != MembershipSource::platform) hear(fleet::RefreshPause{});
   switch (wanted.source) {
     case MembershipSource::platform:
       log_("membership", "from the platform, at " + wanted.discovery.text());
+      if (shares_list()) {
+        fleet::RefreshBegin begin{discovery_name(), std::nullopt, false};
+        if (const auto version = std::exchange(known_version_, std::nullopt)) {
+          whole_.take(config_.known);
+          begin.known = fleet::OwnList{*version, hosts_json(config_.known, config_.boot)};
+        }
+        return hear(std::move(begin));
+      }
       discovery_ = std::make_shared<Discovery>(io_, config_, wanted.discovery, counters_, log_, on_list);
       inherit(*discovery_);
       if (const auto version = std::exchange(known_version_, std::nullopt)) discovery_->know(*version);
@@ -223,9 +273,12 @@
     const bool moved = wanted.discovery != discovery_address_;
     discovery_address_ = wanted.discovery;
     if (config_.platform && moved) notices_.redirect(wanted.discovery);
-    if (wanted.source == MembershipSource::platform && discovery_) {
+    // Who follows the shared list has no watch of its own, but discovery all the same.
+    const bool from_platform = discovery_ || (reducer_.fleet() && reducer_.fleet()->follows());
+    if (wanted.source == MembershipSource::platform && from_platform) {
       if (!moved) return log_("reload", "discovery has not moved");
       log_("reload", "discovery is at " + wanted.discovery.text());
+      if (shares_list()) return hear(fleet::RefreshBegin{discovery_name(), std::nullopt, true});
       return discovery_->redirect(wanted.discovery);
     }
     // Guards the relay's registration against being given back and made anew at once, which may cross.
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -26,6 +26,7 @@
 #include "reducer.hpp"
 #include "signals.hpp"
 #include "upstream.hpp"
+#include "whole_list.hpp"
 
 namespace fennellane {
 
@@ -86,6 +87,13 @@
   void carry(SetTimer& e);
   void carry(Say& e);
   void carry(FleetDo& e);
+  void carry(const fleet::StartOwn& e);
+  void carry(const fleet::StopOwn&);
+  void carry(const fleet::TakeList& e);
+  void take_own(HostList list);
+  std::string discovery_name() const;
+  void hear(fleet::RefreshInput heard) { input(FleetHeard{fleet::RefreshHeard{std::move(heard)}}); }
+  bool shares_list() const { return fleet_ && has_role(*config_.fleet, fleet::kRefreshRole); }
   void join_fleet();
 
   void restore();
@@ -116,6 +124,7 @@
   std::shared_ptr<Discovery> discovery_;  // at most one of these two is there
   std::shared_ptr<ConsulSource> consul_;
   std::shared_ptr<FleetAgent> fleet_;  // null: no role of the fleet is sought
+  WholeList whole_;                    // where the list is shared
   Downstream downstream_;
   LoopWatch loop_watch_;
   asio::steady_timer timer_;  // the module's
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -150,6 +150,32 @@
   }
 }
 
+std::string hosts_json(const HostList& list, const wire::BootInfo& boot) {
+  const auto name = [](const std::vector<std::string>& names, std::uint32_t at) {
+    return at < names.size() ? names[at] : std::string("?");  // one that no list has
+  };
+  Json::Value out;
+  out["version"] = Json::UInt64(list.version);
+  out["full"] = list.whole;
+  out["servers"] = Json::Value(Json::arrayValue);
+  for (const HostEntry& host : list.hosts) {
+    Json::Value line;
+    line["id"] = host.id;
+    line["addr"] = host.address.text();
+    line["zone"] = name(boot.zones, host.zone);
+    line["kind"] = name(boot.kinds, host.kind);
+    line["cell"] = host.destination;
+    line["state"] = host.condition == Condition::ready      ? "ready"
+                    : host.condition == Condition::draining ? "draining"
+                                                            : "gone";
+    line["weight"] = host.rate;
+    out["servers"].append(line);
+  }
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, out);
+}
+
 Config parse_config(const std::string& json) {
   try {
     const Json::Value in = parse_json(json, "the configuration");
--- a/src/settings/config.hpp
+++ b/src/settings/config.hpp
@@ -51,6 +51,8 @@
 Address parse_address(std::string_view text);                             // throws ConfigError
 Config parse_config(const std::string& json);                             // throws ConfigError
 HostList parse_hosts(std::string_view json, const wire::BootInfo& boot);  // throws ConfigError
+// The same list in the platform's form, for `parse_hosts` to read.
+std::string hosts_json(const HostList& list, const wire::BootInfo& boot);
 // The names of the parts in which two configurations differ and that only a restart can change.
 std::vector<std::string> fixed_parts_changed(const Config& running, const Config& wanted);
 // The platform's file, the operators' file, or both; one path may be empty. Throws ConfigError.
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -239,12 +239,20 @@
   f.wait = ms_of(in, "wait-ms", f.wait);
   const std::string wrong = timing_problem(t, ms_of(in, "consul-least-ttl-ms", lease::kConsulLeastTtl));
   if (!wrong.empty()) file.fail("fleet", "its times cannot be kept: " + wrong);
+  f.refresh.beat = ms_of(in["refresh"], "beat-ms", f.refresh.beat);
+  f.refresh.stale = ms_of(in["refresh"], "stale-ms", f.refresh.stale);
+  f.refresh.patience = ms_of(in["refresh"], "patience-ms", f.refresh.patience);
+  f.refresh.spread = ms_of(in["refresh"], "spread-ms", f.refresh.spread);
+  f.discovery = text_of(in["refresh"], "discovery");
+  if (f.refresh.stale <= f.refresh.beat) file.fail("fleet.refresh.stale-ms", "is not above beat-ms");
+  if (has_role(f, fleet::kRefreshRole) && config.source != MembershipSource::platform)
+    file.fail("fleet.roles", "refresh is for membership platform");
   const Json::Value& sweep = in["sweep"];
   f.sweep.service =
       text_of(sweep, "service", config.consul->registration ? config.consul->registration->service : "");
   f.sweep.every = ms_of(sweep, "every-ms", f.sweep.every);
   f.sweep.stale_after = ms_of(sweep, "stale-after-ms", f.sweep.stale_after);
-  if (f.sweep.service.empty() && std::count(f.roles.begin(), f.roles.end(), fleet::kSweepRole) > 0)
+  if (f.sweep.service.empty() && has_role(f, fleet::kSweepRole))
     file.fail("fleet.sweep.service", "is needed where the relay is not registered itself");
   return f;
 }
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -180,6 +180,25 @@
   EXPECT_EQ(lease.step(), Lease::Step::off);
 }
 
+// Found with several relays: one that gave the role up, as it was of no use there, had it back each time.
+TEST(Lease, ComesBehindThoseWhoWaitAfterItHasGivenTheRoleUp) {
+  Timing timing = short_timing();
+  timing.spread = seconds(10);
+  Lease lease(timing);
+  lease.handle(seconds(0), Want{});
+  lease.handle(seconds(0), KeySeen{"", 0, 1});
+  lease.handle(seconds(10), TimeDue{});
+  lease.handle(seconds(10), SessionMade{"s1", seconds(10)});
+  lease.handle(seconds(10), LockAnswer{true, seconds(10)});
+  ASSERT_NE(find<Act>(lease.handle(seconds(10), KeySeen{"s1", 7, 2})), nullptr);
+  EXPECT_NE(find<Release>(lease.handle(seconds(11), Unwant{})), nullptr);
+  lease.handle(seconds(11), Want{});
+  lease.handle(seconds(11), KeySeen{"", 7, 3});
+  lease.handle(seconds(11), Done{});
+  EXPECT_EQ(find<CreateSession>(lease.handle(seconds(21), TimeDue{})), nullptr);
+  EXPECT_NE(find<CreateSession>(lease.handle(seconds(22), TimeDue{})), nullptr);
+}
+
 TEST(Lease, RefusesATimingWhoseRenewCannotComeBackBeforeActingEnds) {
   EXPECT_EQ(timing_problem(Timing{}), "");
   Timing t;
--- /dev/null
+++ b/tests/refresh_test.cpp
@@ -0,0 +1,428 @@
+// The shared list: its decisions alone, many of them against a modelled store, and several relays as
+// processes with one discovery and one Consul.
+#include "refresh.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "consul_agent.hpp"
+#include "fault_proxy.hpp"
+#include "fleet_agent.hpp"
+#include "relay_fixture.hpp"
+#include "whole_list.hpp"
+
+namespace fennellane {
+namespace {
+
+using namespace fleet;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::happens;
+
+template <class E>
+const E* find(const std::vector<RefreshEffect>& effects) {
+  for (const RefreshEffect& e : effects)
+    if (const auto* found = std::get_if<E>(&e)) return found;
+  return nullptr;
+}
+
+BeatSeen beat(Token token, std::uint64_t number, std::uint64_t version, const std::string& source = "d") {
+  return {SharedHead{token, number, version, source}, false};
+}
+ListSeen list(Token token, std::uint64_t version) {
+  return {true, {token, 1, version, "d"}, "v" + std::to_string(version)};
+}
+
+// One that follows the list of the holder with token 3, at version 7.
+Refresh follower() {
+  Refresh r({}, 1);
+  r.handle(seconds(0), RefreshBegin{"d", std::nullopt, false});
+  EXPECT_NE(find<ReadList>(r.handle(seconds(0), beat(3, 10, 7))), nullptr);
+  const auto first = r.handle(seconds(0), list(3, 7));
+  EXPECT_TRUE(find<TakeList>(first) && find<TakeList>(first)->cached);  // nobody knows how old it is
+  const auto second = r.handle(seconds(1), beat(3, 11, 7));
+  EXPECT_TRUE(find<TakeList>(second) && !find<TakeList>(second)->cached);
+  EXPECT_TRUE(r.follows());
+  return r;
+}
+
+TEST(Refresh, FollowsWhileBeatsComeAndWatchesDiscoveryItselfWhenTheyEnd) {
+  Refresh r = follower();
+  EXPECT_EQ(find<StartOwn>(r.handle(seconds(5), RefreshDue{})), nullptr);
+  const auto due = r.handle(seconds(8), RefreshDue{});  // 1 s + 4.5 s + at most 2 s
+  ASSERT_NE(find<StartOwn>(due), nullptr);
+  EXPECT_EQ(find<StartOwn>(due)->known, 7u);  // the list is not asked for as a whole
+  // Back, once the shared list is as new as what discovery has told meanwhile.
+  r.handle(seconds(9), OwnList{9, "v9"});
+  EXPECT_EQ(find<StopOwn>(r.handle(seconds(9), beat(4, 1, 8))), nullptr);
+  EXPECT_NE(find<StopOwn>(r.handle(seconds(10), beat(4, 2, 9))), nullptr);
+}
+
+TEST(Refresh, TakesNothingOfAnOldHolderOrOfAnotherDiscovery) {
+  Refresh r = follower();
+  EXPECT_EQ(find<ReadList>(r.handle(seconds(2), beat(2, 99, 30))), nullptr);
+  EXPECT_EQ(find<ReadList>(r.handle(seconds(2), beat(5, 1, 30, "e"))), nullptr);
+  EXPECT_NE(find<ReadList>(r.handle(seconds(2), beat(5, 1, 30))), nullptr);
+  EXPECT_EQ(find<TakeList>(r.handle(seconds(2), list(4, 31))), nullptr);  // written before, read after
+}
+
+TEST(Refresh, AHolderSharesOnlyWhatItHearsItself) {
+  Refresh r = follower();
+  const auto acts = r.acts(seconds(2), 4, "s");
+  EXPECT_NE(find<StartOwn>(acts), nullptr);
+  EXPECT_EQ(find<Publish>(acts), nullptr);
+  const auto heard = r.handle(seconds(2), OwnHeard{});
+  ASSERT_NE(find<Publish>(heard), nullptr);
+  EXPECT_EQ(find<Publish>(heard)->text, "v7");
+  EXPECT_EQ(find<Publish>(heard)->session, "s");
+  r.handle(seconds(2), Published{4, Published::How::taken});
+  const auto next = r.handle(seconds(4), RefreshDue{});
+  ASSERT_NE(find<Publish>(next), nullptr);
+  EXPECT_FALSE(find<Publish>(next)->text);  // a beat alone
+  r.handle(seconds(4), Published{4, Published::How::failed});
+  const auto again = r.handle(seconds(6), RefreshDue{});
+  ASSERT_NE(find<Publish>(again), nullptr);
+  EXPECT_TRUE(find<Publish>(again)->text);  // what may not have come is sent once more
+  r.handle(seconds(6), Published{4, Published::How::taken});
+  EXPECT_EQ(find<Publish>(r.handle(seconds(8), RefreshDue{})), nullptr);  // discovery is silent: no beat
+  EXPECT_EQ(find<StepDown>(r.handle(seconds(12), RefreshDue{})), nullptr);
+  EXPECT_NE(find<StepDown>(r.handle(seconds(22), RefreshDue{})), nullptr);
+}
+
+// Five relays, a store that fences, a discovery whose list grows, and holders that change, pause and lose
+// touch.
+TEST(Refresh, KeepsEveryRelayInTouchAndNoneGoesBack) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    std::mt19937_64 random(seed);
+    const auto one_in = [&random](int n) { return std::uniform_int_distribution<int>(1, n)(random) == 1; };
+    const RefreshSettings settings;
+    struct Relay {
+      Refresh refresh;
+      bool own = false, reached = true;  // its own watch; discovery and store can be reached
+      std::uint64_t own_version = 0, version = 0;
+      Time touch{};
+    };
+    std::vector<Relay> relays;
+    for (std::uint64_t i = 0; i < 5; ++i) relays.push_back({Refresh(settings, seed * 10 + i)});
+    std::uint64_t version = 1;
+    Token token = 0;
+    std::size_t holder = 5;
+    SharedHead stored_beat, stored_list;
+    Time now = seconds(1);
+    std::function<void(std::size_t, std::vector<RefreshEffect>)> carry =
+        [&](std::size_t i, std::vector<RefreshEffect> effects) {
+          Relay& r = relays[i];
+          for (const RefreshEffect& e : effects) {
+            if (const auto* start = std::get_if<StartOwn>(&e)) {
+              r.own = true;
+              r.own_version = start->known.value_or(0);
+            } else if (std::holds_alternative<StopOwn>(e)) {
+              r.own = false;
+            } else if (const auto* p = std::get_if<Publish>(&e)) {
+              const bool held = i == holder && p->head.token == token;
+              if (!r.reached) {
+                carry(i, r.refresh.handle(now, Published{p->head.token, Published::How::failed}));
+                continue;
+              }
+              if (held) {
+                stored_beat = p->head;
+                if (p->text) stored_list = p->head;
+              }
+              carry(i, r.refresh.handle(now, Published{p->head.token, held ? Published::How::taken
+                                                                           : Published::How::refused}));
+            } else if (std::holds_alternative<ReadList>(e)) {
+              ListSeen seen{r.reached && stored_list.token > 0, stored_list,
+                            "v" + std::to_string(stored_list.version)};
+              carry(i, r.refresh.handle(now, seen));
+            } else if (const auto* take = std::get_if<TakeList>(&e)) {
+              const std::uint64_t taken = std::stoull(take->text.substr(1));
+              ASSERT_GE(taken, r.version) << "seed " << seed;
+              r.version = taken;
+            }
+          }
+        };
+    for (std::size_t i = 0; i < 5; ++i)
+      carry(i, relays[i].refresh.handle(now, RefreshBegin{"d", std::nullopt, false}));
+    constexpr int kSteps = 1200, kCalm = 600;  // of 100 ms; nothing fails in the last minute
+    for (int step = 0; step < kSteps; ++step, now += milliseconds(100)) {
+      const bool calm = step >= kCalm;
+      if (one_in(20)) ++version;
+      if (one_in(100) && !calm) {
+        if (holder < 5) carry(holder, relays[holder].refresh.stops(now));
+        holder = std::uniform_int_distribution<std::size_t>(0, 4)(random);
+        carry(holder, relays[holder].refresh.acts(now, ++token, "s"));
+      }
+      for (std::size_t i = 0; i < 5; ++i) {
+        Relay& r = relays[i];
+        if (calm)
+          r.reached = true;
+        else if (one_in(r.reached ? 100 : 30))
+          r.reached = !r.reached;
+        if (r.own && r.reached) {
+          r.touch = now;
+          carry(i, r.refresh.handle(now, OwnHeard{}));
+          if (r.own && r.own_version < version) {
+            r.own_version = version;
+            ASSERT_GE(version, r.version);
+            r.version = version;
+            carry(i, r.refresh.handle(now, OwnList{version, "v" + std::to_string(version)}));
+          }
+        }
+        if (r.reached) {
+          BeatSeen seen;
+          if (stored_beat.token > 0) seen.beat = stored_beat;
+          carry(i, r.refresh.handle(now, seen));
+          if (r.refresh.follows() && stored_beat.version == r.version) r.touch = now;
+        }
+        carry(i, r.refresh.handle(now, RefreshDue{}));
+        // Whoever has heard neither discovery nor the store watches discovery itself.
+        const bool out_of_touch =
+            r.touch > Time(0) && now - r.touch > settings.stale + settings.spread + milliseconds(200);
+        ASSERT_TRUE(!out_of_touch || r.own) << "seed " << seed << " relay " << i << " step " << step;
+      }
+    }
+    std::size_t own = 0;
+    for (const Relay& r : relays) {
+      own += r.own ? 1 : 0;
+      EXPECT_GE(r.version + 1, version) << "seed " << seed;
+    }
+    if (holder < 5) {
+      EXPECT_EQ(own, 1u) << "seed " << seed;
+    }
+  }
+}
+
+TEST(WholeList, IsWhatTheChangesHaveMadeOfIt) {
+  const wire::BootInfo boot = parse_config(test::config_json()).boot;
+  WholeList whole;
+  whole.take(parse_hosts(test::list_json({{"a", "127.0.0.1:1"}}, 4, false), boot));
+  EXPECT_FALSE(whole.known());
+  whole.take(parse_hosts(test::list_json({{"a", "127.0.0.1:1"}, {"b", "127.0.0.1:2"}}, 5), boot));
+  whole.take(parse_hosts(
+      test::list_json({{"a", "127.0.0.1:1", 7, "gone"}, {"b", "127.0.0.1:3", 9, "draining", 12.5}}, 6, false),
+      boot));
+  EXPECT_TRUE(whole.known());
+  // As text and back.
+  const HostList read = parse_hosts(hosts_json(whole.whole(), boot), boot);
+  EXPECT_EQ(read.version, 6u);
+  EXPECT_TRUE(read.whole);
+  ASSERT_EQ(read.hosts.size(), 1u);
+  EXPECT_EQ(read.hosts[0].id, "b");
+  EXPECT_EQ(read.hosts[0].address.text(), "127.0.0.1:3");
+  EXPECT_EQ(read.hosts[0].destination, 9u);
+  EXPECT_EQ(read.hosts[0].rate, 12.5);
+  EXPECT_EQ(read.hosts[0].condition, starlinghook::Condition::draining);
+  HostEntry strange = read.hosts[0];
+  strange.zone = 99;  // of a name that no list has
+  EXPECT_GE(parse_hosts(hosts_json({1, true, {strange}}, boot), boot).hosts[0].zone, boot.zones.size());
+}
+
+TEST(SharedList, IsReadOnlyAsItIsWritten) {
+  Publish publish{"s", {4, 2, 7, "d"}, "{\"a\":1}"};
+  const auto txn = json_of(share_json("r", "l", "b", publish));
+  ASSERT_TRUE(txn && txn->size() == 3);
+  EXPECT_EQ((*txn)[0]["KV"]["Verb"].asString(), "check-session");
+  SharedHead head;
+  std::string text;
+  EXPECT_TRUE(read_shared(standin::bytes_of_base64((*txn)[2]["KV"]["Value"].asString()), head, text));
+  EXPECT_EQ(head, publish.head);
+  EXPECT_EQ(text, *publish.text);
+  for (const char* bad :
+       {"", "[]", "{}", R"({"token":-1,"beat":1,"version":1})", R"({"token":1,"version":{}})"})
+    EXPECT_FALSE(read_shared(bad, head, text)) << bad;
+}
+
+// --- Several relays
+// A discovery whose watches hear an empty line at short intervals, and each change as it is made.
+class Discovered {
+ public:
+  explicit Discovered(std::vector<test::HostLine> hosts) : hosts_(std::move(hosts)) {}
+  ~Discovered() {
+    stopping_ = true;
+    server_.stop();
+  }
+  std::string address() const { return server_.address(); }
+  std::size_t watches() const { return watches_; }
+  std::size_t fetches() const { return fetches_; }
+  void add(const test::HostLine& host) {
+    const std::scoped_lock lock(mutex_);
+    hosts_.push_back(host);
+    ++version_;
+  }
+
+ private:
+  void serve(asio::ip::tcp::socket& socket) {
+    HttpReader reader(HttpReader::Kind::request, 65536, 1 << 20);
+    char piece[4096];
+    asio::error_code error;
+    while (true) {
+      const std::size_t n = socket.read_some(asio::buffer(piece), error);
+      if (error) return;
+      reader.feed({piece, n});
+      if (!reader.done()) continue;
+      const std::string target = reader.target();
+      reader.take_body();
+      reader.reset();
+      if (target == "/discovery/hosts") {
+        ++fetches_;
+        const std::scoped_lock lock(mutex_);
+        asio::write(socket, asio::buffer(test::answer("200 OK", test::list_json(hosts_, version_))), error);
+        continue;
+      }
+      if (target.find("watch=1") == std::string::npos) {  // a notice
+        asio::write(socket, asio::buffer(test::answer("204 No Content")), error);
+        continue;
+      }
+      ++watches_;
+      int told = std::stoi(target.substr(target.rfind('=') + 1));
+      asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")),
+                  error);
+      while (!error && !stopping_) {
+        std::string line = "\n";
+        {
+          const std::scoped_lock lock(mutex_);
+          if (told < version_) line = test::list_json(hosts_, version_, false) + "\n";
+          told = version_;
+        }
+        std::ostringstream chunk;
+        chunk << std::hex << line.size() << "\r\n" << line << "\r\n";
+        asio::write(socket, asio::buffer(chunk.str()), error);
+        std::this_thread::sleep_for(milliseconds(50));
+      }
+      --watches_;
+      return;
+    }
+  }
+
+  std::mutex mutex_;
+  std::vector<test::HostLine> hosts_;
+  int version_ = 1;
+  std::atomic<std::size_t> watches_ = 0, fetches_ = 0;
+  std::atomic<bool> stopping_ = false;
+  standin::ThreadedServer server_{[this](const standin::ThreadedServer::Socket& s) { serve(*s); }};
+};
+
+standin::StoreRules quick_rules() {
+  standin::StoreRules rules;
+  rules.least_ttl = milliseconds(100);
+  return rules;
+}
+
+class SharedListFleet : public testing::Test {
+ protected:
+  static constexpr std::size_t kRelays = 4;
+  SharedListFleet() {
+    for (std::size_t i = 0; i < kRelays; ++i) {
+      paths.push_back(
+          std::make_unique<harness::FaultProxy>(loop, "127.0.0.1", "127.0.0.1", discovery.address()));
+      relays.push_back(std::make_unique<test::Program>(paths.back()->address()));
+      relays.back()->replace_settings(
+          "(consul (address \"" + consul.address() +
+          "\"))\n(fleet (roles \"refresh\") (ttl-ms 1500) (renew-ms 300) (margin-ms 200) (lock-delay-ms 800) "
+          "(call-ms 800) (retry-ms 50) (spread-ms 200) (wait-ms 1000) (consul-least-ttl-ms 100)\n"
+          "  (refresh (discovery \"one\") (beat-ms 200) (stale-ms 1000) (patience-ms 1500) (spread-ms "
+          "200)))\n");
+      relays.back()->start();
+    }
+  }
+  // One watches discovery, and every relay that is up delivers to what it has just told.
+  void expect_shared(const std::vector<std::size_t>& up, std::size_t most_watches = 1) {
+    EXPECT_TRUE(happens([&] { return discovery.watches() <= most_watches && discovery.watches() > 0; }))
+        << discovery.watches() << relays[up[0]]->log();
+    const int destination = next_++;
+    discovery.add({"h" + std::to_string(destination), partner.address(), destination});
+    for (const std::size_t i : up) {
+      const std::string id = "m" + std::to_string(destination) + "-" + std::to_string(i);
+      std::string text = test::request_text(id);
+      text.replace(text.find("dest=7"), 6, "dest=" + std::to_string(destination));
+      EXPECT_TRUE(happens([&] { return relays[i]->ask(text) == 202; })) << i << relays[i]->log();
+      EXPECT_TRUE(happens([&] { return partner.count(id) == 1; })) << i;
+    }
+  }
+  std::size_t holder() {
+    std::size_t found = kRelays;
+    EXPECT_TRUE(happens([&] {
+      const auto events = consul.events();
+      for (std::size_t i = 0; i < kRelays && !events.empty(); ++i) {
+        const std::string token = "acts, token " + std::to_string(events.back().lock_index);
+        if (events.back().holder != "" && relays[i]->logged(token) > 0) found = i;
+      }
+      return found < kRelays;
+    }));
+    return found;
+  }
+  std::size_t lapses() const {
+    const auto events = consul.events();
+    return static_cast<std::size_t>(std::count_if(events.begin(), events.end(), [](const auto& e) {
+      return e.kind == standin::StoreEvent::Kind::lost;
+    }));
+  }
+  std::vector<std::size_t> all_but(std::size_t one) const {
+    std::vector<std::size_t> up;
+    for (std::size_t i = 0; i < kRelays; ++i)
+      if (i != one) up.push_back(i);
+    return up;
+  }
+
+  test::Server partner{[](const test::Request&) { return test::answer("200 OK"); }};
+  Discovered discovery{{{"h7", partner.address(), 7}}};
+  standin::ConsulAgent consul{quick_rules()};
+  harness::ProxyLoop loop;
+  std::vector<std::unique_ptr<harness::FaultProxy>> paths;
+  std::vector<std::unique_ptr<test::Program>> relays;
+  int next_ = 100;
+};
+
+TEST_F(SharedListFleet, OneWatchesDiscoveryAndAllHearWhatItTells) {
+  expect_shared(all_but(kRelays));
+  const std::size_t fetches = discovery.fetches();
+  // All killed at once: each begins with the shared list, maybe old, and its watch where that ends.
+  for (const auto& relay : relays) relay->end(SIGKILL);
+  for (const auto& relay : relays) relay->start();
+  expect_shared(all_but(kRelays));
+  EXPECT_EQ(discovery.fetches(), fetches);
+}
+
+TEST_F(SharedListFleet, AnotherWatchesWhereTheOneIsKilledOrPaused) {
+  expect_shared(all_but(kRelays));
+  const std::size_t first = holder();
+  ASSERT_LT(first, kRelays);
+  relays[first]->end(SIGKILL);
+  expect_shared(all_but(first), kRelays);
+  expect_shared(all_but(first));
+  const std::size_t second = holder();
+  ASSERT_LT(second, kRelays);
+  relays[second]->signal(SIGSTOP);
+  EXPECT_TRUE(happens([&] { return lapses() == 2; }));
+  std::vector<std::size_t> up = all_but(first);
+  std::erase(up, second);
+  expect_shared(up, kRelays);
+  relays[second]->signal(SIGCONT);
+  relays[first]->start();
+  expect_shared(all_but(kRelays));
+  EXPECT_EQ(relays[second]->logged("acts no more"), 1u);
+}
+
+TEST_F(SharedListFleet, AHolderThatCannotHearDiscoveryGivesTheRoleUp) {
+  expect_shared(all_but(kRelays));
+  const std::size_t first = holder();
+  ASSERT_LT(first, kRelays);
+  paths[first]->set(harness::PathFault::refuse);
+  EXPECT_TRUE(happens([&] { return relays[first]->logged("gives the role up") > 0; }))
+      << relays[first]->log();
+  expect_shared(all_but(kRelays));  // the one without discovery too
+}
+
+TEST_F(SharedListFleet, WithoutConsulEachWatchesDiscoveryItself) {
+  expect_shared(all_but(kRelays));
+  consul.set_fault(standin::Fault::error_500);
+  consul.close_connections();
+  EXPECT_TRUE(happens([&] { return discovery.watches() == kRelays; })) << discovery.watches();
+  expect_shared(all_but(kRelays), kRelays);
+  consul.set_fault(standin::Fault::none);
+  expect_shared(all_but(kRelays));
+}
+
+}  // namespace
+}  // namespace fennellane
--- a/tools/standin/relay_process.cpp
+++ b/tools/standin/relay_process.cpp
@@ -70,6 +70,8 @@
   posix_spawn_file_actions_init(&files);
   posix_spawn_file_actions_addopen(&files, 2, (folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                    0644);
+  // Guards the stand-ins' connections against a copy in each relay that started later, which keeps them open.
+  posix_spawn_file_actions_addclosefrom_np(&files, 3);
   const int error = posix_spawn(&pid_, program.c_str(), &files, nullptr, arguments, environment.data());
   posix_spawn_file_actions_destroy(&files);
   if (error != 0) throw std::runtime_error("cannot start " + program);
