--- a/src/lease/lease.cpp
+++ b/src/lease/lease.cpp
@@ -249,7 +249,8 @@
   out.push_back(Say{Event::session, "session " + session_ + " destroyed"});
   forget_session();
   step_ = wanted_ ? Step::waiting : Step::off;
-  // Guards the others' turn: whoever has just given the role up, or lost it, comes behind all who wait for it.
+  // Guards the others' turn: whoever has just given the role up, or lost it, comes behind all who wait for
+  // it.
   next_try_ = std::max(next_try_, now + timing_.retry + timing_.spread);
 }
 
