Read over: one piece each for the agent's requests, a lease's start, writes' outcomes, names

Change: the agent's request text is built in one place for registration, watch and roles (three before), with json_text and milliseconds_text; name_at moved beside position_of and used for the shared list; a lease begins to act and lets go in one function each (three and two copies); one enum and one mapping for what became of a fenced write, one check-session operation; in the shared list text_known_ and heard_ follow from the version and the moment; step_name, Refresh::own and Fleet::lease had no caller left; the stand-in reads a blocking query and reckons a session's end in one place each. Left and why: FleetAgent::watch has its own rules of a blocking query beside WatchPlan, whose pauses and consistency are the settings' for services; Registration::put bounds each step where AgentCall bounds the whole; an own list is written as text also where this relay does not hold the role (off without settings).

--- a/src/base/names.hpp
+++ b/src/base/names.hpp
@@ -22,4 +22,9 @@
   return find_position(names, name).value_or(static_cast<std::uint32_t>(names.size()));
 }
 
+// Empty for a position past the end.
+inline std::string name_at(const std::vector<std::string>& names, std::uint32_t position) {
+  return position < names.size() ? names[position] : "";
+}
+
 }  // namespace fennellane
--- a/src/consul/agent_call.cpp
+++ b/src/consul/agent_call.cpp
@@ -21,6 +21,22 @@
   return std::nullopt;
 }
 
+std::string json_text(const Json::Value& value) {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, value);
+}
+
+std::string milliseconds_text(Time time) { return std::to_string(time.count() / 1000) + "ms"; }
+
+std::string agent_request(const ConsulSettings& settings, const std::string& method,
+                          const std::string& target, const std::string& body) {
+  std::string text = method + " " + target + " HTTP/1.1\r\nHost: " + settings.agent.text() + "\r\n";
+  if (!settings.token.empty()) text += "X-Consul-Token: " + settings.token + "\r\n";
+  if (method != "GET") text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  return text + "\r\n" + body;
+}
+
 AgentCall::AgentCall(asio::io_context& io, const ConsulSettings& settings, const Limits& limits,
                      std::size_t most_body, std::size_t most_text)
     : settings_(settings), client_(io, settings.agent, limits, most_body, most_text) {}
@@ -34,11 +50,7 @@
     const bool connected = co_await client_.connect(left());
     if (!connected) co_return answer;
   }
-  std::string text = method + " " + target + " HTTP/1.1\r\nHost: " + settings_.agent.text() + "\r\n";
-  if (!settings_.token.empty()) text += "X-Consul-Token: " + settings_.token + "\r\n";
-  if (method != "GET") text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-  text += "\r\n" + body;
-  const bool sent = co_await client_.send(std::move(text), left());
+  const bool sent = co_await client_.send(agent_request(settings_, method, target, body), left());
   bool answered = false;
   if (sent) answered = co_await client_.read_answer(left());
   // Guards the next call against an answer to this one that comes after all.
--- a/src/consul/agent_call.hpp
+++ b/src/consul/agent_call.hpp
@@ -24,6 +24,13 @@
 // What an answer's body holds; nothing where it is no JSON, or nested deeper than any of Consul's.
 std::optional<Json::Value> json_of(const std::string& body);
 
+// The same, as text; and a span as Consul reads it.
+std::string json_text(const Json::Value& value);
+std::string milliseconds_text(Time time);
+// A request to the agent with the token, whole; a GET has no body.
+std::string agent_request(const ConsulSettings& settings, const std::string& method,
+                          const std::string& target, const std::string& body = {});
+
 class AgentCall {
  public:
   // `settings` must outlive it; answers of more than `most_body` bytes count as none, and calls of more than
--- a/src/consul/consul_watch.cpp
+++ b/src/consul/consul_watch.cpp
@@ -4,6 +4,7 @@
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 
+#include "agent_call.hpp"
 #include "clock.hpp"
 #include "number.hpp"
 
@@ -37,15 +38,13 @@
 }
 
 std::string ConsulWatch::request(const WatchQuery& query) const {
-  std::string text = "GET /v1/health/service/" + service_.name + "?index=" + std::to_string(query.index) +
-                     "&wait=" + std::to_string(query.wait.count() / 1000) + "ms";
-  if (query.consistency == Consistency::stale) text += "&stale";
-  if (query.consistency == Consistency::consistent) text += "&consistent";
-  if (!settings_.datacenter.empty()) text += "&dc=" + settings_.datacenter;
-  if (!service_.tag.empty()) text += "&tag=" + service_.tag;
-  text += " HTTP/1.1\r\nHost: " + settings_.agent.text() + "\r\n";
-  if (!settings_.token.empty()) text += "X-Consul-Token: " + settings_.token + "\r\n";
-  return text + "\r\n";
+  std::string target = "/v1/health/service/" + service_.name + "?index=" + std::to_string(query.index) +
+                       "&wait=" + std::to_string(query.wait.count() / 1000) + "ms";
+  if (query.consistency == Consistency::stale) target += "&stale";
+  if (query.consistency == Consistency::consistent) target += "&consistent";
+  if (!settings_.datacenter.empty()) target += "&dc=" + settings_.datacenter;
+  if (!service_.tag.empty()) target += "&tag=" + service_.tag;
+  return agent_request(settings_, "GET", target);
 }
 
 AnswerHead ConsulWatch::head() const {
--- a/src/consul/fleet_agent.cpp
+++ b/src/consul/fleet_agent.cpp
@@ -13,14 +13,6 @@
 namespace fennellane {
 namespace {
 
-std::string ms_text(Time time) { return std::to_string(time.count() / 1000) + "ms"; }
-
-std::string json_text(const Json::Value& value) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, value);
-}
-
 // Calls `read` with what the text holds; false where it is no JSON or not of the shape that `read` expects.
 template <class Read>
 bool with_json(const std::string& text, Read read) {
@@ -32,14 +24,29 @@
   }
 }
 
+// The fence: a transaction with it takes place only while the session holds the role.
+Json::Value fence(const std::string& key, const std::string& session) {
+  Json::Value operation;
+  operation["KV"]["Verb"] = "check-session";
+  operation["KV"]["Key"] = key;
+  operation["KV"]["Session"] = session;
+  return operation;
+}
+
+fleet::Written written(const AgentAnswer& answer) {
+  return answer.status == 200   ? fleet::Written::taken
+         : answer.status == 409 ? fleet::Written::refused
+                                : fleet::Written::failed;
+}
+
 }  // namespace
 
 // Without checks of its node: only its TTL ends it, as the timing argument in docs/ownership.md wants it.
 std::string session_json(const std::string& name, const lease::CreateSession& wanted) {
   Json::Value body;
   body["Name"] = name;
-  body["TTL"] = ms_text(wanted.ttl);
-  body["LockDelay"] = ms_text(wanted.lock_delay);
+  body["TTL"] = milliseconds_text(wanted.ttl);
+  body["LockDelay"] = milliseconds_text(wanted.lock_delay);
   body["Behavior"] = "release";
   body["NodeChecks"] = Json::Value(Json::arrayValue);
   return json_text(body);
@@ -89,11 +96,7 @@
 
 std::string removal_json(const std::string& key, const fleet::RemoveRegistrations& removal) {
   Json::Value operations(Json::arrayValue);
-  Json::Value held;
-  held["KV"]["Verb"] = "check-session";
-  held["KV"]["Key"] = key;
-  held["KV"]["Session"] = removal.session;
-  operations.append(held);
+  operations.append(fence(key, removal.session));
   for (const fleet::Registration& r : removal.which) {
     Json::Value check;
     check["Check"]["Verb"] = "delete-cas";
@@ -128,18 +131,16 @@
   head["beat"] = Json::UInt64(publish.head.beat);
   head["version"] = Json::UInt64(publish.head.version);
   head["source"] = publish.head.source;
-  const auto add = [&operations](const char* verb, const std::string& key) -> Json::Value& {
+  const auto set = [&operations](const std::string& key, const Json::Value& value) {
+    const std::string text = json_text(value);
     Json::Value operation;
-    operation["KV"]["Verb"] = verb;
+    operation["KV"]["Verb"] = "set";
     operation["KV"]["Key"] = key;
-    return operations.append(operation)["KV"];
-  };
-  const auto set = [&](const std::string& key, const Json::Value& value) {
-    const std::string text = json_text(value);
-    add("set", key)["Value"] =
+    operation["KV"]["Value"] =
         cereal::base64::encode(reinterpret_cast<const unsigned char*>(text.data()), text.size());
+    operations.append(operation);
   };
-  add("check-session", role)["Session"] = publish.session;
+  operations.append(fence(role, publish.session));
   set(beat, head);
   if (publish.text) {
     head["list"] = *publish.text;
@@ -283,8 +284,9 @@
   Time backoff = limits_.backoff_least;
   while (true) {
     const bool waits = index > 0;
-    const std::string query = waits ? "index=" + std::to_string(index) + "&wait=" + ms_text(settings_.wait)
-                                    : std::string("consistent");
+    const std::string query =
+        waits ? "index=" + std::to_string(index) + "&wait=" + milliseconds_text(settings_.wait)
+              : std::string("consistent");
     // An agent adds up to a 16th to the time it was asked to wait.
     const Time limit = settings_.timing.call + (waits ? settings_.wait + settings_.wait / 16 : Time(0));
     ++counters_.lease_reads;
@@ -353,15 +355,14 @@
 
 void FleetAgent::carry(const fleet::Publish& e) {
   spawn([this, e]() -> asio::awaitable<void> {
-    using How = fleet::Published::How;
-    fleet::Published published{e.head.token, How::failed};
+    fleet::Published published{e.head.token, fleet::Written::failed};
     if (e.text && e.text->size() > limits_.fleet_list) {
       log_("refresh", "the list is too long to be shared: " + std::to_string(e.text->size()) + " bytes");
     } else {
       const std::string body =
           share_json(role_key(settings_, fleet::kRefreshRole), list_key(), beat_key(), e);
       const AgentAnswer answer = co_await shares_.ask("PUT", "/v1/txn", body, settings_.timing.call);
-      published.how = answer.status == 200 ? How::taken : answer.status == 409 ? How::refused : How::failed;
+      published.how = written(answer);
     }
     tell_later(fleet::RefreshHeard{published});
   });
@@ -398,9 +399,7 @@
     const std::string key = role_key(settings_, fleet::kSweepRole);
     const AgentAnswer answer =
         co_await work_.ask("PUT", "/v1/txn", removal_json(key, e), settings_.timing.call);
-    using How = fleet::RegistrationsRemoved::How;
-    const How how = answer.status == 200 ? How::taken : answer.status == 409 ? How::refused : How::failed;
-    tell_later(fleet::RegistrationsRemoved{e.token, how});
+    tell_later(fleet::RegistrationsRemoved{e.token, written(answer)});
   });
 }
 
--- a/src/consul/list_store.cpp
+++ b/src/consul/list_store.cpp
@@ -27,9 +27,6 @@
 
 constexpr const char* kHealth[] = {"passing", "warning", "critical", "maintenance"};
 
-std::string name_at(const std::vector<std::string>& names, std::uint32_t position) {
-  return position < names.size() ? names[position] : "";
-}
 std::string failure(const char* what) { return std::string(what) + ": " + std::strerror(errno); }
 
 std::string compress(const std::string& text) {
--- a/src/consul/registration.cpp
+++ b/src/consul/registration.cpp
@@ -1,19 +1,13 @@
 #include "registration.hpp"
 
-#include <json/json.h>
-
 #include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 
-namespace fennellane {
-namespace {
-
-std::string milliseconds_text(Time time) { return std::to_string(time.count() / 1000) + "ms"; }
-
-}  // namespace
+#include "agent_call.hpp"
 
+namespace fennellane {
 std::string registration_json(const ConsulRegistration& registration, const std::string& id) {
   Json::Value check;
   check["CheckID"] = "service:" + id;
@@ -26,9 +20,7 @@
   body["Address"] = registration.address;
   body["Port"] = registration.port;
   body["Check"] = check;
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, body);
+  return json_text(body);
 }
 
 Registration::Registration(asio::io_context& io, ConsulSettings settings, std::string id,
@@ -71,10 +63,8 @@
     const bool connected = co_await client_.connect(limits_.notice_answer);
     if (!connected) co_return 0;
   }
-  std::string text = "PUT " + target + " HTTP/1.1\r\nHost: " + settings_.agent.text() + "\r\n";
-  if (!settings_.token.empty()) text += "X-Consul-Token: " + settings_.token + "\r\n";
-  text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-  const bool sent = co_await client_.send(std::move(text), limits_.notice_answer);
+  const bool sent =
+      co_await client_.send(agent_request(settings_, "PUT", target, body), limits_.notice_answer);
   bool answered = false;
   if (sent) answered = co_await client_.read_answer(limits_.notice_answer);
   const unsigned status = answered ? client_.answer().status() : 0;
--- a/src/fleet/refresh.cpp
+++ b/src/fleet/refresh.cpp
@@ -30,9 +30,8 @@
 void Refresh::start_own(Effects& out) {
   if (own_) return;
   own_ = true;
-  heard_ = false;
-  // A list without its text is not one that this relay could hand on: then the whole is asked for.
-  out.emplace_back(StartOwn{text_known_ ? version_ : std::nullopt});
+  heard_at_.reset();
+  out.emplace_back(StartOwn{version_});
 }
 
 void Refresh::on(Time now, const RefreshBegin& begin, Effects& out) {
@@ -41,7 +40,6 @@
   source_ = begin.source;
   if (moved) {
     version_.reset();
-    text_known_ = false;
     news_any_ = false;
     beat_.reset();
     if (own_) out.emplace_back(StopOwn{});
@@ -52,7 +50,7 @@
   if (begin.known && !version_) {
     version_ = begin.known->version;
     text_ = begin.known->text;
-    text_known_ = unpublished_ = doubted_ = true;
+    unpublished_ = doubted_ = true;
   }
   if (token_) start_own(out);
   news(now, settings_.beat / 2);
@@ -68,25 +66,22 @@
 void Refresh::on(Time now, const OwnHeard&, Effects& out) {
   if (!own_) return;
   const bool was_alive = alive(now);
-  heard_ = true;
   heard_at_ = now;
   if (token_ && !was_alive) publish(now, unpublished_, out);
 }
 
 void Refresh::on(Time now, const OwnList& list, Effects& out) {
   if (!own_) return;
-  heard_ = true;
   heard_at_ = now;
   version_ = list.version;
   text_ = list.text;
-  text_known_ = true;
   doubted_ = false;
   unpublished_ = true;
   if (token_) publish(now, true, out);
 }
 
 void Refresh::publish(Time now, bool with_list, Effects& out) {
-  if (!token_ || publishing_ || !text_known_ || !version_ || !alive(now)) return;
+  if (!token_ || publishing_ || !version_ || !alive(now)) return;
   publishing_ = true;
   next_beat_ = now + settings_.beat;
   Publish p{session_, {*token_, ++beats_, *version_, source_}, std::nullopt};
@@ -164,7 +159,6 @@
   const bool changed = !version_ || seen.head.version > *version_;
   version_ = seen.head.version;
   text_ = seen.text;
-  text_known_ = true;
   unpublished_ = true;
   const bool cached = !fresh(now);
   if (changed) {
--- a/src/fleet/refresh.hpp
+++ b/src/fleet/refresh.hpp
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "lease.hpp"
+#include "written.hpp"
 
 namespace fennellane::fleet {
 
@@ -63,7 +64,8 @@
 };
 struct Published {  // the answer to Publish
   Token token = 0;
-  enum class How : std::uint8_t { taken, refused, failed } how{};
+  using How = Written;
+  How how{};
 };
 struct RefreshDue {};
 using RefreshInput =
@@ -104,7 +106,6 @@
   Effects acts(Time now, Token token, const std::string& session);
   Effects stops(Time now);
 
-  bool own() const { return own_; }
   bool follows() const { return running_ && !own_; }
 
  private:
@@ -122,7 +123,7 @@
   void confirm(Effects& out);
   void news(Time now, Time stale_after);
   void arm(Time now, Effects& out);
-  bool alive(Time now) const { return own_ && heard_ && now - heard_at_ < settings_.stale; }
+  bool alive(Time now) const { return own_ && heard_at_ && now - *heard_at_ < settings_.stale; }
   bool fresh(Time now) const { return news_any_ && now < fallback_at_; }
 
   const RefreshSettings settings_;
@@ -131,11 +132,9 @@
   std::string source_;
   // Its own watch.
   bool own_ = false;
-  bool heard_ = false;
-  Time heard_at_{};
+  std::optional<Time> heard_at_;          // since it began
   std::optional<std::uint64_t> version_;  // of the list that this relay holds, own or shared
-  std::string text_;                      // the whole list, where its own watch has told one
-  bool text_known_ = false;
+  std::string text_;                      // that whole list, where there is a version
   // What is shared.
   Token top_ = 0;  // the highest seen: a lower one is an old holder's
   std::optional<SharedHead> beat_;
--- a/src/fleet/roles.cpp
+++ b/src/fleet/roles.cpp
@@ -33,11 +33,11 @@
       counts_.lost += say->event == lease::Event::lost ? 1 : 0;
       counts_.given_up += say->event == lease::Event::given_up ? 1 : 0;
     }
-    if (role == sweep_role_ && std::holds_alternative<lease::Act>(effect)) {
+    const auto* const act = std::get_if<lease::Act>(&effect);
+    if (role == sweep_role_ && act) {
       sweep_->begin();
       work_later(now, out);
     }
-    const auto* const act = std::get_if<lease::Act>(&effect);
     Refresh::Effects of_refresh;
     if (role == refresh_role_ && act)
       of_refresh = refresh_->acts(now, act->token, leases_[role].session());
--- a/src/fleet/roles.hpp
+++ b/src/fleet/roles.hpp
@@ -12,6 +12,7 @@
 #include "lease.hpp"
 #include "refresh.hpp"
 #include "sweep.hpp"
+#include "written.hpp"
 
 namespace fennellane::fleet {
 
@@ -40,7 +41,8 @@
 };
 struct RegistrationsRemoved {  // the answer to RemoveRegistrations
   Token token = 0;
-  enum class How : std::uint8_t { taken, refused, failed } how{};  // refused: not one operation took place
+  using How = Written;
+  How how{};
 };
 struct WorkDue {};  // the timer that SetWorkTimer asked for
 struct RefreshHeard {
@@ -87,7 +89,6 @@
   std::vector<Effect> handle(Time now, const Input& input);
 
   const std::vector<std::string>& roles() const { return roles_; }
-  const lease::Lease& lease(std::uint32_t role) const { return leases_.at(role); }
   const Counts& counts() const { return counts_; }
   bool follows() const { return refresh_ && refresh_->follows(); }  // the shared list
 
--- a/src/lease/lease.cpp
+++ b/src/lease/lease.cpp
@@ -26,28 +26,6 @@
   return {};
 }
 
-const char* step_name(Lease::Step step) {
-  switch (step) {
-    case Lease::Step::off:
-      return "off";
-    case Lease::Step::waiting:
-      return "waiting";
-    case Lease::Step::making:
-      return "making";
-    case Lease::Step::seeking:
-      return "seeking";
-    case Lease::Step::holding:
-      return "holding";
-    case Lease::Step::acting:
-      return "acting";
-    case Lease::Step::lapsed:
-      return "lapsed";
-    case Lease::Step::releasing:
-      return "releasing";
-  }
-  return "?";
-}
-
 Lease::Lease(const Timing& timing, std::uint64_t seed) : timing_(timing), seed_(seed) {}
 
 bool Lease::may_act(Time now) const { return step_ == Step::acting && now < acting_ends(); }
@@ -83,18 +61,11 @@
       step_ = Step::off;
       return;
     }
-    const bool holds = has_lock();
-    step_ = Step::releasing;
-    out_ = Call::release;
-    out.push_back(Release{session_, holds});
-    return;
+    return let_go(has_lock(), out);
   }
   // Guards against a lock that is held and sought: this session lost it, or came too late.
   if (drop_ || (step_ == Step::seeking && key_seen_ && !key_free())) {
-    step_ = Step::releasing;
-    out_ = Call::release;
-    out.push_back(Release{session_, false});
-    return;
+    return let_go(false, out);
   }
   if (session_.empty() && !key_free()) {
     step_ = Step::waiting;
@@ -122,6 +93,19 @@
   }
 }
 
+void Lease::let_go(bool holds, Effects& out) {
+  step_ = Step::releasing;
+  out_ = Call::release;
+  out.push_back(Release{session_, holds});
+}
+
+// With the key's token as last read: a lapse may have come before the key was first heard.
+void Lease::act(Effects& out) {
+  token_ = seen_index_;
+  step_ = Step::acting;
+  out.push_back(Act{token_});
+}
+
 void Lease::stop(Event event, const std::string& why, Step next, Effects& out) {
   if (step_ == Step::acting) out.push_back(Stop{why});
   if (has_lock()) out.push_back(Say{event, why + ", token " + std::to_string(token_)});
@@ -173,11 +157,7 @@
   }
   step_ = Step::holding;
   out.push_back(Say{Event::acquired, "acquired with session " + session_});
-  if (wanted_ && key_ours() && now < acting_ends()) {
-    token_ = seen_index_;
-    step_ = Step::acting;
-    out.push_back(Act{token_});
-  }
+  if (wanted_ && key_ours() && now < acting_ends()) act(out);
 }
 
 void Lease::on(Time now, const RenewAnswer& answer, Effects& out) {
@@ -185,17 +165,13 @@
   if (!answer.alive) {
     stop(Event::lost, "session " + session_ + " is gone", Step::waiting, out);
     forget_session();
-    step_ = Step::waiting;
     return;
   }
   confirmed_ = std::max(confirmed_, answer.sent);
   // The session lived when Consul read this renew; the lock is ours unless the key said otherwise.
   if (step_ == Step::lapsed && wanted_ && key_ours() && now < acting_ends()) {
-    // The token is the key's as last read: a lapse may have come before the key was first heard.
-    token_ = seen_index_;
-    step_ = Step::acting;
-    out.push_back(Say{Event::resumed, "renewed after a lapse, token " + std::to_string(token_)});
-    out.push_back(Act{token_});
+    out.push_back(Say{Event::resumed, "renewed after a lapse, token " + std::to_string(seen_index_)});
+    act(out);
   }
 }
 
@@ -238,9 +214,7 @@
       step_ = Step::lapsed;
       return;
     }
-    token_ = seen.lock_index;
-    step_ = Step::acting;
-    out.push_back(Act{token_});
+    act(out);
   }
 }
 
--- a/src/lease/lease.hpp
+++ b/src/lease/lease.hpp
@@ -154,6 +154,8 @@
   void on(Time now, const Done&, Effects& out);
   void on(Time now, const TimeDue&, Effects& out);
   void next_call(Time now, Effects& out);
+  void let_go(bool holds, Effects& out);
+  void act(Effects& out);
   void stop(Event event, const std::string& why, Step next, Effects& out);
   void try_later(Time now, Time least);
   void forget_session();
@@ -183,6 +185,4 @@
   Time timer_{};
 };
 
-const char* step_name(Lease::Step step);
-
 }  // namespace fennellane::lease
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -151,9 +151,6 @@
 }
 
 std::string hosts_json(const HostList& list, const wire::BootInfo& boot) {
-  const auto name = [](const std::vector<std::string>& names, std::uint32_t at) {
-    return at < names.size() ? names[at] : std::string("?");  // one that no list has
-  };
   Json::Value out;
   out["version"] = Json::UInt64(list.version);
   out["full"] = list.whole;
@@ -162,8 +159,8 @@
     Json::Value line;
     line["id"] = host.id;
     line["addr"] = host.address.text();
-    line["zone"] = name(boot.zones, host.zone);
-    line["kind"] = name(boot.kinds, host.kind);
+    line["zone"] = name_at(boot.zones, host.zone);
+    line["kind"] = name_at(boot.kinds, host.kind);
     line["cell"] = host.destination;
     line["state"] = host.condition == Condition::ready      ? "ready"
                     : host.condition == Condition::draining ? "draining"
--- a/tools/standin/consul_agent.cpp
+++ b/tools/standin/consul_agent.cpp
@@ -17,14 +17,6 @@
 
 std::string quoted(const std::string& text) { return "\"" + text + "\""; }
 
-std::string parameter(const std::string& target, const std::string& name) {
-  for (std::size_t at = target.find('?'); at != std::string::npos; at = target.find('&', at + 1)) {
-    const std::string pair = target.substr(at + 1, target.find('&', at + 1) - at - 1);
-    if (pair.starts_with(name + "=")) return pair.substr(name.size() + 1);
-  }
-  return "";
-}
-
 std::string head(const std::string& status, std::size_t size, const std::string& more = "") {
   return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\n" + more +
          "Content-Length: " + std::to_string(size) + "\r\n\r\n";
@@ -48,6 +40,16 @@
   return r;
 }
 
+// What a blocking query waits for: an index past the one that was seen, for so long.
+std::uint64_t seen_index(const StoreRequest& r) {
+  const auto it = r.query.find("index");
+  return it == r.query.end() ? 0 : whole_number(it->second, UINT64_MAX).value_or(0);
+}
+milliseconds longest_wait(const StoreRequest& r) {
+  const auto it = r.query.find("wait");
+  return it == r.query.end() ? milliseconds(300000) : duration_of(it->second);
+}
+
 }  // namespace
 
 std::string element_json(const std::string& service, const CatalogueHost& h) {
@@ -150,14 +152,8 @@
 // A key is waited for until its index is past the one that was seen; one that is ahead of the store (which
 // has lost its state) is waited for to the end of the time, as Consul does.
 bool ConsulAgent::answer_store(tcp::socket& socket, const StoreRequest& request) {
-  const auto number = [&request](const char* name) {
-    const auto it = request.query.find(name);
-    return it == request.query.end() ? 0 : whole_number(it->second, UINT64_MAX).value_or(0);
-  };
-  const std::uint64_t seen = number("index");
-  const auto wait_text = request.query.find("wait");
-  const milliseconds wait =
-      wait_text == request.query.end() ? milliseconds(300000) : duration_of(wait_text->second);
+  const std::uint64_t seen = seen_index(request);
+  const milliseconds wait = longest_wait(request);
   StoreAnswer answer;
   {
     std::unique_lock lock(mutex_);
@@ -227,12 +223,10 @@
 
 // False: the connection is to end.
 bool ConsulAgent::answer_query(tcp::socket& socket, const std::string& target, const std::string& token) {
-  const std::string path = target.substr(0, target.find('?'));
-  const std::string service = path.substr(path.rfind('/') + 1);
-  const std::uint64_t seen = whole_number(parameter(target, "index"), UINT64_MAX).value_or(0);
-  std::string wait_text = parameter(target, "wait");
-  if (wait_text.ends_with("ms")) wait_text.resize(wait_text.size() - 2);
-  const milliseconds wait(static_cast<std::int64_t>(whole_number(wait_text, 600000).value_or(300000)));
+  const StoreRequest request = parsed("GET", target, "");
+  const std::string service = request.path.substr(request.path.rfind('/') + 1);
+  const std::uint64_t seen = seen_index(request);
+  const milliseconds wait = longest_wait(request);
 
   std::unique_lock lock(mutex_);
   ++queries_;
--- a/tools/standin/consul_store.cpp
+++ b/tools/standin/consul_store.cpp
@@ -139,6 +139,11 @@
 }
 
 // --- Sessions
+SteadyTime ConsulStore::end_of(const Session& s, SteadyTime renewed) const {
+  if (s.ttl == Milliseconds(0)) return SteadyTime::max();
+  return renewed + std::chrono::duration_cast<SteadyTime::duration>(s.ttl * rules_.ttl_slack);
+}
+
 StoreAnswer ConsulStore::create_session(SteadyTime now, const std::string& body) {
   Json::Value in(Json::objectValue);
   if (!body.empty() && (!read_json(body, in) || !in.isObject()))
@@ -165,9 +170,7 @@
   for (const std::string& check : s.checks)
     if (critical_.count(s.node + "/" + check) > 0)
       return {500, "Check '" + check + "' is in critical state", 0};
-  s.ends = s.ttl > Milliseconds(0)
-               ? now + std::chrono::duration_cast<SteadyTime::duration>(s.ttl * rules_.ttl_slack)
-               : SteadyTime::max();
+  s.ends = end_of(s, now);
   s.create_index = ++index_;
   char id[40];
   std::snprintf(id, sizeof id, "adf4238a-882b-9ddc-4a9d-%012llx",
@@ -204,9 +207,7 @@
   }
   if (what == "renew" && r.method == "PUT") {
     if (it == sessions_.end()) return {404, "Session id '" + id + "' not found", 0};
-    if (it->second.ttl > Milliseconds(0))
-      it->second.ends =
-          now + std::chrono::duration_cast<SteadyTime::duration>(it->second.ttl * rules_.ttl_slack);
+    it->second.ends = end_of(it->second, now);
     list.append(session_json(id, it->second));
     return {200, json_text(list), 0};
   }
@@ -293,9 +294,7 @@
     index_ = 10;
     return;
   }
-  for (auto& [id, s] : sessions_)
-    if (s.ttl > Milliseconds(0))
-      s.ends = now + std::chrono::duration_cast<SteadyTime::duration>(s.ttl * rules_.ttl_slack);
+  for (auto& [id, s] : sessions_) s.ends = end_of(s, now);
 }
 
 // --- Keys
--- a/tools/standin/consul_store.hpp
+++ b/tools/standin/consul_store.hpp
@@ -124,6 +124,7 @@
   };
   StoreAnswer session(SteadyTime now, const std::string& what, const std::string& id,
                       const StoreRequest& request);
+  SteadyTime end_of(const Session& s, SteadyTime renewed) const;
   StoreAnswer create_session(SteadyTime now, const std::string& body);
   Json::Value session_json(const std::string& id, const Session& s) const;
   StoreAnswer get_key(const std::string& key, const StoreRequest& request) const;
