Lease: those who wait sit out the lock-delay of a lock that lapsed

Change: a release leaves the key without a value, a lapse leaves it with its holder's; who reads a lapsed key waits for the lock-delay and its own part of the spread. The stand-in's release stores the request's value, as Consul's does; the model knows the mark.

--- a/src/consul/fleet_agent.cpp
+++ b/src/consul/fleet_agent.cpp
@@ -69,6 +69,7 @@
     if (!v.isArray() || v.size() != 1 || !v[0].isObject() || !v[0]["LockIndex"].isUInt64()) return false;
     seen.holder = v[0].get("Session", "").asString();
     seen.lock_index = v[0]["LockIndex"].asUInt64();
+    seen.lapsed = seen.holder.empty() && !v[0].get("Value", "").asString().empty();
     return true;
   });
 }
@@ -258,8 +259,9 @@
   spawn([this, role, e]() -> asio::awaitable<void> {
     Role& r = *roles_[role];
     // Released first: a session that is destroyed while it holds starts the lock-delay.
+    // The value it leaves says that this was no lapse.
     if (e.holds)
-      co_await r.calls.ask("PUT", "/v1/kv/" + r.key + "?release=" + e.session, relay_, settings_.timing.call);
+      co_await r.calls.ask("PUT", "/v1/kv/" + r.key + "?release=" + e.session, "", settings_.timing.call);
     co_await r.calls.ask("PUT", "/v1/session/destroy/" + e.session, "", settings_.timing.call);
     hear(role, lease::Done{});
   });
--- a/src/lease/lease.cpp
+++ b/src/lease/lease.cpp
@@ -194,11 +194,14 @@
   if (key_seen_ && seen.index < seen_modify_ && !seen.afresh) return;
   if (seen.afresh) acquired_after_ = 0;  // of a count that is over
   const bool was_free = key_free();
+  // Guards Consul against all who wait trying, and being refused, for as long as its lock-delay runs.
+  if (seen.lapsed && (!key_seen_ || seen.afresh || seen.index > seen_modify_))
+    try_later(now, timing_.lock_delay);
   seen_modify_ = seen.index;
   key_seen_ = true;
   seen_holder_ = seen.holder;
   seen_index_ = seen.lock_index;
-  if (!was_free && key_free()) try_later(now, Time::zero());
+  if (!was_free && key_free() && !seen.lapsed) try_later(now, Time::zero());
   const bool had = has_lock();
   // An answer no newer than the read before our acquire tells nothing of what came after it.
   if (had && seen.index > acquired_after_ &&
--- a/src/lease/lease.hpp
+++ b/src/lease/lease.hpp
@@ -4,14 +4,15 @@
 //
 // A relay that seeks the role reads the key and has no session while another holds it: three hundred that
 // seek cost Consul a blocking read each, and no renews. Where the key is free each tries after a random part
-// of `spread`, so that the first is soon there and the others see it held.
+// of `spread`, so that the first is soon there and the others see it held; where its holder has lapsed, they
+// sit out the lock-delay first.
 //
 //   relay                                   Consul
 //   CreateSession (TTL, LockDelay, release) -> PUT /v1/session/create          -> SessionMade | CallFailed
 //   Acquire                                 -> PUT /v1/kv/KEY?acquire=SESSION  -> LockAnswer  | CallFailed
 //   Renew, every `renew_every`              -> PUT /v1/session/renew/SESSION   -> RenewAnswer | CallFailed
 //   (the caller's own blocking read)        -> GET /v1/kv/KEY?index=N           -> KeySeen
-//   Release                                 -> PUT ?release=SESSION, then PUT /v1/session/destroy/SESSION
+//   Release                                 -> PUT ?release=SESSION with no value, then PUT /v1/session/destroy/SESSION
 //                                                                               -> Done
 //
 // Rules that all else rests on:
@@ -74,6 +75,9 @@
   std::uint64_t index = 0;  // its ModifyIndex: an answer older than the last one read is dropped
   bool afresh =
       false;  // Consul's index has gone backwards, as after a state that was lost: taken all the same
+  // Nobody holds it, and its last holder has not released it: Consul refuses it within the lock-delay. A
+  // release leaves the key without a value, a lapse leaves it with its holder's.
+  bool lapsed = false;
 };
 struct Done {};     // the release and the destroy were answered, or failed
 struct TimeDue {};  // the timer that SetTimer asked for
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -199,6 +199,30 @@
   EXPECT_NE(find<CreateSession>(lease.handle(seconds(22), TimeDue{})), nullptr);
 }
 
+// Found with 300 relays: while the lock-delay ran the key looked free, and all who waited made sessions and were
+// refused, some more than once.
+TEST(Lease, SitsOutTheLockDelayOfALockThatLapsed) {
+  Timing timing = short_timing();
+  timing.lock_delay = seconds(6);
+  timing.spread = Time::zero();
+  Lease lease(timing);
+  lease.handle(seconds(0), Want{});
+  lease.handle(seconds(0), KeySeen{"other", 4, 9});
+  EXPECT_EQ(find<CreateSession>(lease.handle(seconds(10), KeySeen{"", 4, 10, false, true})), nullptr);
+  EXPECT_EQ(find<CreateSession>(lease.handle(seconds(15), TimeDue{})), nullptr);
+  EXPECT_NE(find<CreateSession>(lease.handle(seconds(16), TimeDue{})), nullptr);
+  // One that was released is tried at once, and one read anew as it was is not waited for again.
+  Lease second(timing);
+  second.handle(seconds(0), Want{});
+  second.handle(seconds(0), KeySeen{"other", 4, 9});
+  EXPECT_NE(find<CreateSession>(second.handle(seconds(10), KeySeen{"", 4, 10})), nullptr);
+  Lease third(timing);
+  third.handle(seconds(0), Want{});
+  third.handle(seconds(0), KeySeen{"", 4, 10, false, true});
+  third.handle(seconds(5), KeySeen{"", 4, 10, false, true});
+  EXPECT_NE(find<CreateSession>(third.handle(seconds(6), TimeDue{})), nullptr);
+}
+
 TEST(Lease, RefusesATimingWhoseRenewCannotComeBackBeforeActingEnds) {
   EXPECT_EQ(timing_problem(Timing{}), "");
   Timing t;
--- a/tools/modelcheck/lease_model.cpp
+++ b/tools/modelcheck/lease_model.cpp
@@ -39,6 +39,7 @@
   std::string holder;
   Token lock_index = 0;
   std::uint64_t index = 0;
+  bool lapsed = false;
 };
 
 struct Contender {
@@ -62,6 +63,7 @@
   std::string holder;
   Token lock_index = 0;
   std::uint64_t modify = 1;
+  bool lapsed = false;  // the newest holder has not released the lock
   int delay_until = 0;
   std::vector<Message> to_consul, to_contender;
   std::string last_acting;  // the session of the newest check that let a contender act
@@ -70,12 +72,12 @@
 
 std::string fingerprint(const World& w) {
   std::ostringstream s;
-  s << w.now << '|' << w.holder << '|' << w.lock_index << '|' << w.modify << '|' << w.delay_until << '|'
+  s << w.now << '|' << w.holder << '|' << w.lock_index << '|' << w.modify << w.lapsed << '|' << w.delay_until << '|'
     << w.last_acting << '|' << w.losses << w.pauses << w.restarts << w.crashes;
   for (const Contender& c : w.contenders) {
     s << "#" << c.lease->fingerprint(at(w.now)) << c.paused << c.resume_at << (c.timer ? *c.timer : -1) << ','
       << c.call_id << ',' << c.call_sent << ',' << c.calls_made << ',' << c.read_index << c.writes << c.calls;
-    if (c.read) s << 'r' << c.read->holder << c.read->lock_index << ',' << c.read->index;
+    if (c.read) s << 'r' << c.read->holder << c.read->lock_index << ',' << c.read->index << c.read->lapsed;
     if (c.prepared) s << 'p' << c.prepared->session << c.prepared->token;
   }
   for (const Session& x : w.sessions) s << "$" << x.id << x.alive << x.expires;
@@ -228,6 +230,7 @@
     s.alive = false;
     if (w.holder == s.id) {
       w.holder.clear();
+      w.lapsed = true;
       ++w.modify;
       w.delay_until = w.now + b_.lock_delay;
     }
@@ -255,6 +258,7 @@
           answer.flag = true;
         } else if (s && w.holder.empty() && w.now >= w.delay_until) {
           w.holder = s->id;
+          w.lapsed = false;
           ++w.lock_index;
           ++w.modify;
           answer.flag = true;
@@ -392,14 +396,14 @@
       // The blocking read: Consul's key as it is now, handed over at some later step.
       if (!c.read && w.modify > c.read_index)
         next(name + " reads the key", [&](World& x) {
-          x.contenders[who].read = Snapshot{x.holder, x.lock_index, x.modify};
+          x.contenders[who].read = Snapshot{x.holder, x.lock_index, x.modify, x.lapsed};
           x.contenders[who].read_index = x.modify;
         });
       if (c.read)
         next(name + " hears the key: " + (c.read->holder.empty() ? "free" : c.read->holder), [&](World& x) {
           const Snapshot s = *x.contenders[who].read;
           x.contenders[who].read.reset();
-          feed(x, who, KeySeen{s.holder, s.lock_index, s.index});
+          feed(x, who, KeySeen{s.holder, s.lock_index, s.index, false, s.lapsed});
         });
       const bool acts = c.lease->may_act(at(w.now));
       if (acts && (c.writes < b_.writes || c.calls < b_.calls)) check_lease(w, who, index);
--- a/tools/standin/consul_store.cpp
+++ b/tools/standin/consul_store.cpp
@@ -359,12 +359,13 @@
   return true;
 }
 
-bool ConsulStore::release(SteadyTime now, const std::string& key, const std::string& session) {
+bool ConsulStore::release(SteadyTime now, const std::string& key, const std::string& session,
+                          const std::string& value) {
   const auto it = keys_.find(key);
   if (it == keys_.end() || it->second.session.empty() || it->second.session != session) return false;
   it->second.session.clear();
-  it->second.modify = keys_index_ = ++index_;
   note(StoreEvent::Kind::released, now, key, session, it->second.lock, it->second.value);
+  write(key, value);
   return true;
 }
 
@@ -374,7 +375,7 @@
     return {200, acquire(now, key, it->second, r.body) ? "true" : "false", 0};
   }
   if (const auto it = r.query.find("release"); it != r.query.end())
-    return {200, release(now, key, it->second) ? "true" : "false", 0};
+    return {200, release(now, key, it->second, r.body) ? "true" : "false", 0};
   if (r.query.count("cas") > 0) {
     const auto wanted = number_in(r.query, "cas");
     const auto it = keys_.find(key);
@@ -482,7 +483,7 @@
     return result();
   }
   if (verb == "unlock") {
-    if (!release(now, key, session))
+    if (!release(now, key, session, value))
       return "failed to unlock key \"" + key + "\", lock isn't held, or is held by another session";
     return result();
   }
--- a/tools/standin/consul_store.hpp
+++ b/tools/standin/consul_store.hpp
@@ -136,7 +136,8 @@
   std::string apply_catalogue(const Json::Value& operation);
   StoreAnswer agent(SteadyTime now, const StoreRequest& request);
   bool acquire(SteadyTime now, const std::string& key, const std::string& session, const std::string& value);
-  bool release(SteadyTime now, const std::string& key, const std::string& session);
+  // As with an acquire, the request's value becomes the key's.
+  bool release(SteadyTime now, const std::string& key, const std::string& session, const std::string& value);
   void write(const std::string& key, const std::string& value);
   void erase(const std::string& key);
   void invalidate(SteadyTime now, std::map<std::string, Session>::iterator it);
