--- a/src/base/names.hpp
+++ b/src/base/names.hpp
@@ -22,6 +22,15 @@
   return find_position(names, name).value_or(static_cast<std::uint32_t>(names.size()));
 }
 
+// Of a relay, a zone or a build, where it becomes a part of a key or a path: letters, digits, '-', '_' and
+// '.'.
+inline bool plain_name(std::string_view name) {
+  constexpr std::size_t kMost = 128;
+  constexpr std::string_view kPlain = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
+  return !name.empty() && name.size() <= kMost && name.front() != '.' &&
+         name.find_first_not_of(kPlain) == std::string_view::npos;
+}
+
 // Empty for a position past the end.
 inline std::string name_at(const std::vector<std::string>& names, std::uint32_t position) {
   return position < names.size() ? names[position] : "";
--- /dev/null
+++ b/src/consul/consul_json.cpp
@@ -0,0 +1,85 @@
+#include "consul_json.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <cereal/external/base64.hpp>
+#include <exception>
+
+namespace fennellane {
+
+// Without checks of its node: only its TTL ends it, as the timing argument in docs/ownership.md wants it.
+std::string session_json(const std::string& name, const char* behavior, Time ttl, Time lock_delay) {
+  Json::Value body;
+  body["Name"] = name;
+  body["TTL"] = milliseconds_text(ttl);
+  body["LockDelay"] = milliseconds_text(lock_delay);
+  body["Behavior"] = behavior;
+  body["NodeChecks"] = Json::Value(Json::arrayValue);
+  return json_text(body);
+}
+
+std::string session_id(const std::string& body) {
+  std::string id;
+  with_json(body, [&id](const Json::Value& v) {
+    id = v["ID"].asString();
+    return true;
+  });
+  // Guards the targets it becomes a part of.
+  const bool plain =
+      std::all_of(id.begin(), id.end(), [](unsigned char c) { return std::isalnum(c) != 0 || c == '-'; });
+  return plain && id.size() <= 64 ? id : "";
+}
+
+// The fence: a transaction with it takes place only while the session holds the role.
+Json::Value fence(const std::string& key, const std::string& session) {
+  Json::Value operation;
+  operation["KV"]["Verb"] = "check-session";
+  operation["KV"]["Key"] = key;
+  operation["KV"]["Session"] = session;
+  return operation;
+}
+
+fleet::Written written(const AgentAnswer& answer) {
+  return answer.status == 200   ? fleet::Written::taken
+         : answer.status == 409 ? fleet::Written::refused
+                                : fleet::Written::failed;
+}
+
+namespace {
+
+Json::Value kv(const char* verb, const std::string& key, const std::string& value) {
+  Json::Value operation;
+  operation["KV"]["Verb"] = verb;
+  operation["KV"]["Key"] = key;
+  operation["KV"]["Value"] =
+      cereal::base64::encode(reinterpret_cast<const unsigned char*>(value.data()), value.size());
+  return operation;
+}
+
+}  // namespace
+
+Json::Value set_key(const std::string& key, const std::string& value) { return kv("set", key, value); }
+
+Json::Value set_key_as_read(const std::string& key, std::uint64_t index, const std::string& value) {
+  Json::Value operation = kv("cas", key, value);
+  operation["KV"]["Index"] = Json::UInt64(index);
+  return operation;
+}
+
+Json::Value delete_below(const std::string& prefix) {
+  Json::Value operation;
+  operation["KV"]["Verb"] = "delete-tree";
+  operation["KV"]["Key"] = prefix;
+  return operation;
+}
+
+std::string value_of(const Json::Value& entry) {
+  const std::string text = entry.get("Value", "").asString();
+  try {
+    return cereal::base64::decode(text);
+  } catch (const std::exception&) {
+    return "";
+  }
+}
+
+}  // namespace fennellane
--- a/src/consul/consul_source.cpp
+++ b/src/consul/consul_source.cpp
@@ -103,8 +103,8 @@
   if (registration_) registration_->leave();
 }
 
-void ConsulSource::leave() {
-  if (registration_) registration_->leave();
+void ConsulSource::leave(bool returns) {
+  if (registration_) registration_->leave(returns);
   if (save_armed_) keep_list();
 }
 
--- a/src/consul/consul_source.hpp
+++ b/src/consul/consul_source.hpp
@@ -36,7 +36,7 @@
 
   void start() override;
   void stop() override;
-  void leave() override;
+  void leave(bool returns) override;
   void set_ready() override;
 
   const ConsulSettings& settings() const { return settings_; }
--- a/src/consul/fleet_agent.cpp
+++ b/src/consul/fleet_agent.cpp
@@ -1,68 +1,12 @@
 #include "fleet_agent.hpp"
 
 #include <algorithm>
-#include <asio/co_spawn.hpp>
-#include <asio/post.hpp>
-#include <asio/redirect_error.hpp>
-#include <asio/use_awaitable.hpp>
-#include <cereal/external/base64.hpp>
 #include <utility>
 
 #include "clock.hpp"
+#include "consul_json.hpp"
 
 namespace fennellane {
-namespace {
-
-// Calls `read` with what the text holds; false where it is no JSON or not of the shape that `read` expects.
-template <class Read>
-bool with_json(const std::string& text, Read read) {
-  const std::optional<Json::Value> value = json_of(text);
-  try {
-    return value && read(*value);
-  } catch (const Json::Exception&) {
-    return false;
-  }
-}
-
-// The fence: a transaction with it takes place only while the session holds the role.
-Json::Value fence(const std::string& key, const std::string& session) {
-  Json::Value operation;
-  operation["KV"]["Verb"] = "check-session";
-  operation["KV"]["Key"] = key;
-  operation["KV"]["Session"] = session;
-  return operation;
-}
-
-fleet::Written written(const AgentAnswer& answer) {
-  return answer.status == 200   ? fleet::Written::taken
-         : answer.status == 409 ? fleet::Written::refused
-                                : fleet::Written::failed;
-}
-
-}  // namespace
-
-// Without checks of its node: only its TTL ends it, as the timing argument in docs/ownership.md wants it.
-std::string session_json(const std::string& name, const lease::CreateSession& wanted) {
-  Json::Value body;
-  body["Name"] = name;
-  body["TTL"] = milliseconds_text(wanted.ttl);
-  body["LockDelay"] = milliseconds_text(wanted.lock_delay);
-  body["Behavior"] = "release";
-  body["NodeChecks"] = Json::Value(Json::arrayValue);
-  return json_text(body);
-}
-
-std::string session_id(const std::string& body) {
-  std::string id;
-  with_json(body, [&id](const Json::Value& v) {
-    id = v["ID"].asString();
-    return true;
-  });
-  // Guards the targets it becomes a part of.
-  const bool plain =
-      std::all_of(id.begin(), id.end(), [](unsigned char c) { return std::isalnum(c) != 0 || c == '-'; });
-  return plain && id.size() <= 64 ? id : "";
-}
 
 bool read_key(const std::string& body, lease::KeySeen& seen) {
   return with_json(body, [&seen](const Json::Value& v) {
@@ -132,20 +76,11 @@
   head["beat"] = Json::UInt64(publish.head.beat);
   head["version"] = Json::UInt64(publish.head.version);
   head["source"] = publish.head.source;
-  const auto set = [&operations](const std::string& key, const Json::Value& value) {
-    const std::string text = json_text(value);
-    Json::Value operation;
-    operation["KV"]["Verb"] = "set";
-    operation["KV"]["Key"] = key;
-    operation["KV"]["Value"] =
-        cereal::base64::encode(reinterpret_cast<const unsigned char*>(text.data()), text.size());
-    operations.append(operation);
-  };
   operations.append(fence(role, publish.session));
-  set(beat, head);
+  operations.append(set_key(beat, json_text(head)));
   if (publish.text) {
     head["list"] = *publish.text;
-    set(list, head);
+    operations.append(set_key(list, json_text(head)));
   }
   return json_text(operations);
 }
@@ -153,14 +88,13 @@
 FleetAgent::FleetAgent(asio::io_context& io, const ConsulSettings& consul, const FleetSettings& settings,
                        const std::string& relay, const Limits& limits, Counters& counters, Log& log,
                        Tell tell)
-    : io_(io),
+    : FleetTasks(io, std::move(tell)),
       consul_(consul),
       settings_(settings),
       relay_(relay),
       limits_(limits),
       counters_(counters),
       log_(log),
-      tell_(std::move(tell)),
       work_(io, consul_, limits, limits.fleet_answer),
       work_due_(io),
       shares_(io, consul_, limits, limits.body, limits.fleet_list * 3 / 2),
@@ -168,40 +102,34 @@
       refresh_due_(io) {
   for (const std::string& role : settings_.roles)
     roles_.push_back(std::make_unique<Role>(io, consul_, limits, role, role_key(settings_, role)));
+  if (settings_.drain)
+    drain_ = std::make_shared<DrainAgent>(io, consul_, settings_, limits, counters, log, tell_);
+  if (settings_.release)
+    release_ = std::make_shared<ReleaseAgent>(io, consul_, settings_, limits, counters, log, tell_);
 }
 
 void FleetAgent::start() {
   for (std::uint32_t i = 0; i < roles_.size(); ++i) watch_role(i);
   if (has_role(settings_, fleet::kRefreshRole)) watch_beat();
+  if (release_) release_->start();
 }
 
 void FleetAgent::carry(const fleet::Effect& effect) {
   std::visit([this](const auto& e) { on(e); }, effect);
 }
 
-template <class Run>
-void FleetAgent::spawn(Run run) {
-  // The lambda is the coroutine's own, and keeps this object until it has returned.
-  asio::co_spawn(
-      io_, [self = shared_from_this(), run]() -> asio::awaitable<void> { co_await run(); }, rethrow);
-}
-
-// In a turn of its own: an answer may be there before the effects of this input have been carried out.
-void FleetAgent::tell_later(fleet::Input input) {
-  asio::post(io_, [self = shared_from_this(), heard = std::move(input)]() mutable {
-    self->tell_(std::move(heard));
-  });
-}
 void FleetAgent::hear(std::uint32_t role, lease::Input input) {
   tell_later(fleet::LeaseHeard{role, std::move(input)});
 }
 
-void FleetAgent::set(asio::steady_timer& timer, Time at, std::function<fleet::Input()> due) {
-  timer.expires_at(steady_moment(at));
-  timer.async_wait([weak = weak_from_this(), what = std::move(due)](asio::error_code error) {
-    const auto self = weak.lock();
-    if (!error && self) self->tell_(what());
-  });
+void FleetAgent::on(const fleet::DrainDo& e) {
+  if (drain_) drain_->carry(e.effect);
+}
+void FleetAgent::on(const fleet::MoverDo& e) {
+  if (release_) release_->carry(e.effect);
+}
+void FleetAgent::on(const fleet::CoordinatorDo& e) {
+  if (release_) release_->carry(e.effect);
 }
 
 // --- The lease
@@ -215,7 +143,8 @@
     Role& r = *roles_[role];
     const Time sent = steady_now();
     const AgentAnswer answer = co_await r.calls.ask(
-        "PUT", "/v1/session/create", session_json(relay_ + " " + r.name, e), settings_.timing.call);
+        "PUT", "/v1/session/create", session_json(relay_ + " " + r.name, "release", e.ttl, e.lock_delay),
+        settings_.timing.call);
     const std::string id = answer.status == 200 ? session_id(answer.body) : "";
     if (id.empty()) {
       hear(role, lease::CallFailed{});
@@ -280,43 +209,8 @@
   set(roles_[role]->due, e.at, [role] { return fleet::Input(fleet::LeaseHeard{role, lease::TimeDue{}}); });
 }
 
-// The blocking read of a key. After any trouble it begins without an index, and from the leader.
-asio::awaitable<void> FleetAgent::watch(std::shared_ptr<Watch> w) {
-  std::uint64_t index = 0, newest = 0;
-  Time backoff = limits_.backoff_least;
-  while (true) {
-    const bool waits = index > 0;
-    const std::string query =
-        waits ? "index=" + std::to_string(index) + "&wait=" + milliseconds_text(settings_.wait)
-              : std::string("consistent");
-    // An agent adds up to a 16th to the time it was asked to wait.
-    const Time limit = settings_.timing.call + (waits ? settings_.wait + settings_.wait / 16 : Time(0));
-    ++counters_.lease_reads;
-    const AgentAnswer answer =
-        co_await w->reads.ask("GET", "/v1/kv/" + w->key + (w->raw ? "?raw&" : "?") + query, "", limit);
-    const bool answered = answer.index > 0 && (answer.status == 200 || answer.status == 404);
-    // An index that goes backwards is asked for once more, from the leader, before it is believed.
-    if (answered && waits && answer.index < index) {
-      index = 0;
-      continue;
-    }
-    if (!answered || !w->take(answer, answer.index < newest)) {
-      index = 0;
-      w->reads.close();
-      w->pause.expires_after(backoff);
-      asio::error_code cut_short;
-      co_await w->pause.async_wait(asio::redirect_error(asio::use_awaitable, cut_short));
-      backoff = std::min(backoff * 2, limits_.backoff_most);
-      continue;
-    }
-    backoff = limits_.backoff_least;
-    index = newest = answer.index;
-  }
-}
-
 void FleetAgent::watch_role(std::uint32_t role) {
-  auto w = std::make_shared<Watch>(io_, consul_, limits_, roles_[role]->key);
-  w->take = [this, role](const AgentAnswer& answer, bool afresh) {
+  const auto take = [this, role](const AgentAnswer& answer, bool afresh) {
     lease::KeySeen seen;
     if (answer.status == 200 && !read_key(answer.body, seen)) return false;
     seen.index = answer.index;
@@ -324,14 +218,14 @@
     hear(role, std::move(seen));
     return true;
   };
-  spawn([this, w] { return watch(w); });
+  std::make_shared<KeyWatch>(io_, consul_, limits_, counters_, roles_[role]->key, KeyWatch::What::key,
+                             settings_.timing.call, settings_.wait, take)
+      ->start();
 }
 
 // --- The shared list
 void FleetAgent::watch_beat() {
-  auto w = std::make_shared<Watch>(io_, consul_, limits_, beat_key());
-  w->raw = true;
-  w->take = [this](const AgentAnswer& answer, bool afresh) {
+  const auto take = [this](const AgentAnswer& answer, bool afresh) {
     fleet::BeatSeen seen{std::nullopt, afresh};
     if (answer.status == 200) {
       fleet::SharedHead head;
@@ -342,7 +236,9 @@
     tell_later(fleet::RefreshHeard{std::move(seen)});
     return true;
   };
-  spawn([this, w] { return watch(w); });
+  std::make_shared<KeyWatch>(io_, consul_, limits_, counters_, beat_key(), KeyWatch::What::value,
+                             settings_.timing.call, settings_.wait, take)
+      ->start();
 }
 
 void FleetAgent::on(const fleet::RefreshDo& e) {
--- a/src/consul/fleet_agent.hpp
+++ b/src/consul/fleet_agent.hpp
@@ -12,14 +12,16 @@
 
 #include "agent_call.hpp"
 #include "counters.hpp"
+#include "drain_agent.hpp"
 #include "fleet_settings.hpp"
+#include "fleet_tasks.hpp"
+#include "key_watch.hpp"
 #include "log.hpp"
+#include "release_agent.hpp"
 
 namespace fennellane {
 
 // The bodies and answers of Consul's API that it uses.
-std::string session_json(const std::string& name, const lease::CreateSession& wanted);
-std::string session_id(const std::string& body);  // of the answer to a create; empty: none can be read
 // Of the answer to GET /v1/kv/KEY; false where it can't be read.
 bool read_key(const std::string& body, lease::KeySeen& seen);
 // Of GET /v1/health/service/NAME; false where it can't be read.
@@ -32,9 +34,8 @@
 std::string share_json(const std::string& role, const std::string& list, const std::string& beat,
                        const fleet::Publish& publish);
 
-class FleetAgent : public std::enable_shared_from_this<FleetAgent> {
+class FleetAgent : public FleetTasks {
  public:
-  using Tell = std::function<void(fleet::Input)>;
   FleetAgent(asio::io_context& io, const ConsulSettings& consul, const FleetSettings& settings,
              const std::string& relay, const Limits& limits, Counters& counters, Log& log, Tell tell);
 
@@ -50,22 +51,14 @@
     AgentCall calls;  // the lease's, one at a time
     asio::steady_timer due;
   };
-  struct Watch {  // a blocking read of one key, again and again
-    Watch(asio::io_context& io, const ConsulSettings& consul, const Limits& limits, std::string of)
-        : key(std::move(of)), reads(io, consul, limits, limits.body), pause(io) {}
-    const std::string key;
-    bool raw = false;  // the value alone, not what Consul says of it
-    AgentCall reads;
-    asio::steady_timer pause;
-    // False: the answer is none that can be read. `afresh`: Consul's index has gone backwards.
-    std::function<bool(const AgentAnswer&, bool afresh)> take;
-  };
-
   void on(const fleet::LeaseDo& e);
   void on(const fleet::ReadRegistrations& e);
   void on(const fleet::RemoveRegistrations& e);
   void on(const fleet::SetWorkTimer& e);
   void on(const fleet::Swept& e) { log_("sweep", e.text); }
+  void on(const fleet::DrainDo& e);
+  void on(const fleet::MoverDo& e);
+  void on(const fleet::CoordinatorDo& e);
   void carry(std::uint32_t role, const lease::CreateSession& e);
   void carry(std::uint32_t role, const lease::Acquire& e);
   void carry(std::uint32_t role, const lease::Renew& e);
@@ -79,28 +72,23 @@
   void read_list();
   void watch_role(std::uint32_t role);
   void watch_beat();
-  asio::awaitable<void> watch(std::shared_ptr<Watch> w);
   std::string list_key() const { return settings_.prefix + "/refresh/list"; }
   std::string beat_key() const { return settings_.prefix + "/refresh/beat"; }
-  void tell_later(fleet::Input input);
   void hear(std::uint32_t role, lease::Input input);
-  template <class Run>
-  void spawn(Run run);
-  void set(asio::steady_timer& timer, Time at, std::function<fleet::Input()> due);
 
-  asio::io_context& io_;
   const ConsulSettings consul_;
   const FleetSettings settings_;
   const std::string relay_;
   const Limits& limits_;
   Counters& counters_;
   Log& log_;
-  const Tell tell_;
   std::vector<std::unique_ptr<Role>> roles_;
   AgentCall work_;
   asio::steady_timer work_due_;
   AgentCall shares_, lists_;  // writes and reads of the shared list
   asio::steady_timer refresh_due_;
+  std::shared_ptr<DrainAgent> drain_;      // null where no slot is sought
+  std::shared_ptr<ReleaseAgent> release_;  // where there are no releases
 };
 
 }  // namespace fennellane
--- a/src/consul/registration.cpp
+++ b/src/consul/registration.cpp
@@ -19,6 +19,8 @@
   body["ID"] = id;
   body["Address"] = registration.address;
   body["Port"] = registration.port;
+  if (!registration.relay.empty()) body["Meta"]["relay"] = registration.relay;
+  if (!registration.zone.empty()) body["Meta"]["zone"] = registration.zone;
   body["Check"] = check;
   return json_text(body);
 }
@@ -45,9 +47,10 @@
   pause_.cancel();
 }
 
-void Registration::leave() {
+void Registration::leave(bool returns) {
   if (leaving_) return;
   leaving_ = true;
+  returns_ = returns;
   pause_.cancel();
 }
 
@@ -105,9 +108,13 @@
     }
   }
   if (registered_) {
-    const unsigned status = co_await put("/v1/agent/service/deregister/" + id_, "");
-    log_("consul", status == 200 ? "registration: given back"
-                                 : "registration: not given back, status " + std::to_string(status));
+    // Named first: GCC 12 destroys such a text twice where it is chosen in the call that is awaited.
+    const std::string target =
+        returns_ ? "/v1/agent/check/fail/service:" + id_ : "/v1/agent/service/deregister/" + id_;
+    const std::string what = returns_ ? "shown as out" : "given back";
+    const unsigned status = co_await put(target, "");
+    log_("consul",
+         "registration: " + (status == 200 ? what : "not " + what + ", status " + std::to_string(status)));
   }
   client_.close();
 }
--- a/src/consul/registration.hpp
+++ b/src/consul/registration.hpp
@@ -30,8 +30,9 @@
   // Another process has registered the service, and this one keeps it. Before `start`.
   void adopt() { registered_ = true; }
   bool registered() const { return registered_; }
-  // Takes the service out of the catalogue, once, and ends.
-  void leave();
+  // Takes the service out of the catalogue, once, and ends. Where the relay `returns` soon, the service stays
+  // and its check fails: nobody is sent to it, and the disruption budget still counts it.
+  void leave(bool returns = false);
 
  private:
   asio::awaitable<void> run();
@@ -49,6 +50,7 @@
   bool registered_ = false;
   bool ready_ = false;
   bool leaving_ = false;
+  bool returns_ = false;
   bool failing_ = false;  // and the log has heard so
 };
 
--- /dev/null
+++ b/src/consul/release_command.cpp
@@ -0,0 +1,215 @@
+#include "release_command.hpp"
+
+#include <asio/co_spawn.hpp>
+#include <chrono>
+#include <iomanip>
+#include <map>
+
+#include "consul_json.hpp"
+#include "fleet_values.hpp"
+#include "names.hpp"
+
+namespace fennellane {
+namespace {
+
+using What = ReleaseOrder::What;
+
+// Runs one question to its end; `ask` is a coroutine over the call.
+template <class Ask>
+bool with_agent(const ConsulSettings& consul, const Limits& limits, std::string& trouble, Ask ask) {
+  asio::io_context io(1);
+  AgentCall call(io, consul, limits, limits.fleet_answer, limits.fleet_value * 2);
+  asio::co_spawn(
+      io,
+      [&]() -> asio::awaitable<void> {
+        co_await ask(call);
+        call.close();
+      },
+      rethrow);
+  try {
+    io.run();
+  } catch (const Json::Exception& e) {
+    trouble = std::string("an answer of another shape: ") + e.what();
+  }
+  return trouble.empty();
+}
+
+std::string not_answered(const AgentAnswer& answer) {
+  return "Consul has not answered, status " + std::to_string(answer.status);
+}
+
+void print_budget(const drain::BudgetSeen& seen, std::ostream& out) {
+  if (!seen.budget) {
+    out << "no slot has ever been taken, and no budget set: the relays' own settings hold\n";
+    return;
+  }
+  std::set<std::string> live;
+  for (const drain::Contender& c : seen.contenders) live.insert(c.session);
+  const drain::Budget budget = drain::pruned(*seen.budget, live);
+  const auto bound = [&out](const char* name, std::uint32_t value, const char* unit) {
+    if (value > 0) out << " " << name << " " << value << unit;
+  };
+  out << "out at most:";
+  bound("relays", budget.cap.most, "");
+  bound("of a zone", budget.cap.per_zone, "");
+  bound("of all", budget.cap.percent, "%");
+  out << "\n";
+  for (const drain::Holder& h : budget.holders)
+    out << std::left << std::setw(20) << h.relay << " zone " << (h.zone.empty() ? "-" : h.zone) << " session "
+        << h.session << "\n";
+  out << seen.contenders.size() - budget.holders.size() << " wait\n";
+}
+
+void print_state(const release::State& s, const std::vector<release::Report>& reports, std::ostream& out) {
+  out << "release " << s.id << " from " << s.from << " to " << s.to << ": " << release::name_of(s.phase);
+  if (!s.waves.empty()) out << ", wave " << s.wave + 1 << " of " << s.waves.size();
+  out << "\n";
+  if (!s.why.empty()) out << "why: " << s.why << "\n";
+  std::map<std::string, std::size_t> builds;
+  for (const release::Report& r : reports) ++builds[r.build];
+  for (const auto& [build, count] : builds) out << count << " relays report " << build << "\n";
+  for (const release::Report& r : reports) {
+    if (!r.trouble.empty()) out << r.relay << " could not move: " << r.trouble << "\n";
+    if (!r.waits.empty()) out << r.relay << " waits: " << r.waits << "\n";
+  }
+}
+
+struct StateRead {
+  std::optional<release::State> state;
+  std::uint64_t index = 0;
+  std::string trouble;
+};
+
+asio::awaitable<StateRead> read(AgentCall& call, const FleetSettings& settings) {
+  StateRead read;
+  const AgentAnswer answer =
+      co_await call.ask("GET", "/v1/kv/" + release_key(settings) + "?consistent", "", settings.timing.call);
+  if (answer.status == 404) co_return read;
+  if (answer.status != 200) {
+    read.trouble = not_answered(answer);
+    co_return read;
+  }
+  with_json(answer.body, [&read](const Json::Value& v) {
+    read.index = v[0]["ModifyIndex"].asUInt64();
+    read.state = read_state(value_of(v[0]));
+    return true;
+  });
+  if (!read.state) read.trouble = "the state in the store can't be read";
+  co_return read;
+}
+
+}  // namespace
+
+release::State ordered(const std::optional<release::State>& before, const ReleaseOrder& order,
+                       const std::string& id, std::string& trouble) {
+  using release::Phase;
+  release::State next;
+  if (order.what == What::start) {
+    if (before && !release::is_over(before->phase)) {
+      trouble = "release " + before->id + " is under way (" + release::name_of(before->phase) + ")";
+      return next;
+    }
+    next.id = id;
+    next.from = order.from;
+    next.to = order.to;
+    next.steps = order.steps;
+    next.auto_back = order.auto_back;
+    if (!plain_name(next.from) || !plain_name(next.to) || next.from == next.to)
+      trouble = "from and to are two names of builds: letters, digits, '-', '_' and '.'";
+    if (const std::string wrong = release::steps_problem(next.steps); trouble.empty() && !wrong.empty())
+      trouble = wrong;
+    return next;
+  }
+  if (!before) {
+    trouble = "there has been no release";
+    return next;
+  }
+  next = *before;
+  const Phase phase = before->phase;
+  bool can = false;
+  if (order.what == What::halt) {
+    can = !release::is_over(phase) && phase != Phase::halted;
+    next.phase = Phase::halted;
+    next.why = "by an operator";
+  } else if (order.what == What::resume) {
+    can = phase == Phase::halted;
+    next.phase = next.waves.empty() ? Phase::gathering : Phase::rolling;
+    next.why.clear();
+  } else if (order.what == What::back) {
+    can = phase != Phase::back && phase != Phase::returned;
+    next.phase = Phase::back;
+    next.why = "by an operator";
+  }
+  if (!can) trouble = "release " + before->id + " is " + release::name_of(phase);
+  return next;
+}
+
+bool show_budget(const ConsulSettings& consul, const FleetSettings& settings, const Limits& limits,
+                 const std::optional<drain::Cap>& cap, std::ostream& out, std::string& trouble) {
+  return with_agent(consul, limits, trouble, [&](AgentCall& call) -> asio::awaitable<void> {
+    const std::string below = "/v1/kv/" + budget_prefix(settings) + "?recurse&consistent";
+    constexpr int kTries = 20;  // against relays that take slots meanwhile
+    for (int i = 0; i < kTries; ++i) {
+      const AgentAnswer answer = co_await call.ask("GET", below, "", settings.timing.call);
+      drain::BudgetSeen seen;
+      const bool read = answer.status == 404 ||
+                        (answer.status == 200 && read_semaphore(answer.body, budget_prefix(settings), seen));
+      if (!read) {
+        trouble = not_answered(answer);
+        co_return;
+      }
+      if (!cap || (seen.budget && seen.budget->cap == *cap)) {
+        print_budget(seen, out);
+        co_return;
+      }
+      drain::Budget next = seen.budget.value_or(drain::Budget{});
+      next.cap = *cap;
+      const AgentAnswer set =
+          co_await call.ask("PUT", "/v1/kv/" + budget_key(settings) + "?cas=" + std::to_string(seen.index),
+                            budget_json(next), settings.timing.call);
+      if (set.status != 200) {
+        trouble = not_answered(set);
+        co_return;
+      }
+    }
+    trouble = "the budget has changed each time that it was to be set";
+  });
+}
+
+bool order_release(const ConsulSettings& consul, const FleetSettings& settings, const Limits& limits,
+                   const ReleaseOrder& order, std::ostream& out, std::string& trouble) {
+  return with_agent(consul, limits, trouble, [&](AgentCall& call) -> asio::awaitable<void> {
+    StateRead before = co_await read(call, settings);
+    trouble = before.trouble;
+    if (!trouble.empty()) co_return;
+    if (order.what != What::status) {
+      const auto since_epoch = std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch());
+      const std::string id = order.to + "-" + std::to_string(since_epoch.count());
+      const release::State next = ordered(before.state, order, id, trouble);
+      if (!trouble.empty()) co_return;
+      const AgentAnswer set =
+          co_await call.ask("PUT", "/v1/kv/" + release_key(settings) + "?cas=" + std::to_string(before.index),
+                            state_json(next), settings.timing.call);
+      if (set.status != 200) {
+        trouble = not_answered(set);
+      } else if (!set.body.starts_with("true")) {
+        trouble = "the release has changed meanwhile: see its status and ask again";
+      }
+      if (!trouble.empty()) co_return;
+      before.state = next;
+    }
+    if (!before.state) {
+      out << "there has been no release\n";
+      co_return;
+    }
+    const AgentAnswer answer = co_await call.ask(
+        "GET", "/v1/kv/" + reports_prefix(settings) + "?recurse&consistent", "", settings.timing.call);
+    std::vector<release::Report> reports;
+    if (answer.status == 200) read_reports(answer.body, reports);
+    std::erase_if(reports, [&](const release::Report& r) { return r.release != before.state->id; });
+    print_state(*before.state, reports, out);
+  });
+}
+
+}  // namespace fennellane
--- /dev/null
+++ b/src/consul/release_command.hpp
@@ -0,0 +1,33 @@
+// What operators ask of drains and releases on the command line: one question to Consul each.
+#pragma once
+
+#include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "consul_settings.hpp"
+#include "fleet_settings.hpp"
+
+namespace fennellane {
+
+// All return false where it could not be done, and say why in `trouble`.
+
+// Prints the budget and who holds its slots; with `cap`, sets that first.
+bool show_budget(const ConsulSettings& consul, const FleetSettings& settings, const Limits& limits,
+                 const std::optional<drain::Cap>& cap, std::ostream& out, std::string& trouble);
+
+struct ReleaseOrder {
+  enum class What { status, start, halt, resume, back } what = What::status;
+  std::string from, to;            // start
+  std::vector<std::string> steps;  // start
+  bool auto_back = true;           // start
+};
+bool order_release(const ConsulSettings& consul, const FleetSettings& settings, const Limits& limits,
+                   const ReleaseOrder& order, std::ostream& out, std::string& trouble);
+
+// What an order makes of the state; empty `trouble` where it can be given. `id` is a new release's.
+release::State ordered(const std::optional<release::State>& before, const ReleaseOrder& order,
+                       const std::string& id, std::string& trouble);
+
+}  // namespace fennellane
--- a/src/core/cluster_source.hpp
+++ b/src/core/cluster_source.hpp
@@ -15,8 +15,9 @@
   virtual void start() = 0;
   // No list comes after this. What it has open ends by itself.
   virtual void stop() = 0;
-  // The process is about to end: what the source holds of the relay's in other systems is given back.
-  virtual void leave() {}
+  // The process is about to end: what the source holds of the relay's in other systems is given back, or,
+  // where the relay `returns` soon, shown as out.
+  virtual void leave(bool returns) { (void)returns; }
   // Whether the relay serves, as /up says.
   virtual void set_ready() {}
 };
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -4,7 +4,8 @@
 
 namespace fennellane {
 
-std::string counters_text(const Counters& c, const JournalFigures& j, const fleet::Counts* f) {
+std::string counters_text(const Counters& c, const JournalFigures& j, const fleet::Counts* f,
+                          const drain::SlotCounts* s) {
   constexpr std::array<std::string_view, kOutcomes> names = {
       "error", "delivered", "full", "timeout", "connect_failed", "reset", "cancelled", "not_sent"};
   std::string text = "counters";
@@ -25,6 +26,7 @@
   add("reused", c.reused);
   add("spoilt", c.spoilt);
   add("delivered", c.delivered);
+  add("late", c.late);
   add("withdrawn", c.withdrawn);
   add("deferred", c.deferred);
   add("undeliverable", c.undeliverable);
@@ -55,6 +57,12 @@
     add("refresh.refused", f->shares_refused);
     add("refresh.followed", f->lists_followed);
   }
+  if (s != nullptr) {
+    add("slot.taken", s->taken);
+    add("slot.refused", s->refused);
+    add("slot.lost", s->lost);
+    add("slot.waits", s->waits);
+  }
   add("journal.held", j.held);
   add("journal.bytes", j.bytes);
   add("journal.records", j.records);
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -27,6 +27,7 @@
   std::uint64_t spoilt = 0;  // answers that cannot be read or are none that the protocol knows
   // Ends.
   std::uint64_t delivered = 0;
+  std::uint64_t late = 0;       // of these, after their class's aim; without those of an earlier life
   std::uint64_t withdrawn = 0;  // over before the relay ended it
   std::uint64_t deferred = 0;
   std::uint64_t undeliverable = 0;
@@ -54,8 +55,8 @@
   std::uint64_t bytes = 0, records = 0, compactions = 0, held = 0;
 };
 
-// `fleet`: null where no role is sought.
+// `fleet`: null where no role is sought; `slot`: where no slot is.
 std::string counters_text(const Counters& counters, const JournalFigures& journal,
-                          const fleet::Counts* fleet = nullptr);
+                          const fleet::Counts* fleet = nullptr, const drain::SlotCounts* slot = nullptr);
 
 }  // namespace fennellane
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -12,11 +12,12 @@
                  Counters& counters)
     : limits_(limits),
       counters_(counters),
-      classes_(settings.classes.size()),
       refused_again_(settings.can_advise_return ? std::min(limits.refused_again, settings.max_return_after)
                                                 : Time(0)),
       forwarder_(settings),
-      next_(next_stream) {}
+      next_(next_stream) {
+  for (const starlinghook::ClassSettings& c : settings.classes) aims_.push_back(c.aim);
+}
 
 std::vector<Effect> Reducer::reduce(Time now, const Input& input) {
   now_ = std::max(now, now_);  // the module's time never goes backwards
@@ -70,7 +71,8 @@
   }
   ++counters_.taken;
   const StreamId id = next_++;
-  add(id, o.id, o.body);
+  Stream& stream = add(id, o.id, o.body);
+  if (o.message_class < aims_.size()) stream.late_at = now_ + aims_[o.message_class];
   JournalEntry entry;
   entry.id = o.id;
   entry.message_class = o.message_class;
@@ -103,7 +105,7 @@
   // repeated.
   if (e.out) effect(RecordOutcome{r.stream, true});
   // Guards against a configuration that has lost the message's class since.
-  if (e.message_class >= classes_) {
+  if (e.message_class >= aims_.size()) {
     return give_up(r.stream, Verdict::undeliverable, Time(0), starlinghook::Why::none);
   }
   starlinghook::MessageArrived arrived;
@@ -141,6 +143,7 @@
   ended.idle = c.idle;
   if (ended.finished) {
     ++(c.outcome == Outcome::delivered ? counters_.delivered : counters_.withdrawn);
+    counters_.late += c.outcome == Outcome::delivered && now_ > stream.late_at ? 1 : 0;
     end(it);
   } else {
     const bool doubtful = c.outcome == Outcome::error || c.outcome == Outcome::timeout ||
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -186,6 +186,7 @@
     HostId host = 0;  // of the newest attempt; in the cluster as long as it is out
     bool out = false;
     bool given_up = false;
+    Time late_at = Time::max();  // its aim is over; not known of one from an earlier life
     template <class Archive>
     void serialize(Archive& archive);
   };
@@ -231,7 +232,7 @@
 
   const Limits& limits_;
   Counters& counters_;
-  const std::size_t classes_;
+  std::vector<Time> aims_;  // by class
   const Time refused_again_;
   starlinghook::Forwarder forwarder_;
   Time now_{};
--- a/src/core/reducer_memory.cpp
+++ b/src/core/reducer_memory.cpp
@@ -7,13 +7,13 @@
 namespace fennellane {
 namespace {
 
-constexpr std::uint32_t kMemoryVersion = 3;
+constexpr std::uint32_t kMemoryVersion = 4;
 
 }  // namespace
 
 template <class Archive>
 void Reducer::Stream::serialize(Archive& archive) {
-  archive(id, attempts, host, out, given_up);
+  archive(id, attempts, host, out, given_up, late_at);
 }
 
 template <class Archive>
@@ -29,7 +29,7 @@
 std::string Reducer::save_fleet() {
   if (!fleet_) return "";
   return written_memory([this](MemoryWriter& archive) {
-    archive(fleet_->roles(), written_memory([this](MemoryWriter& leases) { fleet_->remember(leases); }));
+    archive(fleet_->parts(), written_memory([this](MemoryWriter& leases) { fleet_->remember(leases); }));
   });
 }
 
@@ -41,7 +41,7 @@
   std::string leases;
   const char* const whose = "the fleet's part of the reducer's memory";
   read_memory(bytes, whose, [&](MemoryReader& archive) { archive(roles, leases); });
-  if (roles != fleet_->roles()) return false;
+  if (roles != fleet_->parts()) return false;
   read_memory(leases, whose, [this](MemoryReader& archive) { fleet_->remember(archive); });
   return true;
 }
--- a/src/fleet/fleet_memory.hpp
+++ b/src/fleet/fleet_memory.hpp
@@ -1,6 +1,7 @@
 // The fleet's part of the reducer's memory. What the sweep has seen is not in it: its time begins anew.
 #pragma once
 
+#include "drain_memory.hpp"
 #include "lease_memory.hpp"
 #include "roles.hpp"
 
@@ -12,6 +13,8 @@
   archive(counts_.acquired, counts_.renews_missed, counts_.lapsed, counts_.lost, counts_.given_up,
           counts_.swept, counts_.sweeps_refused, counts_.lists_shared, counts_.shares_refused,
           counts_.lists_followed);
+  if (slot_) slot_->remember(archive);
+  if (mover_) mover_->remember(archive);
 }
 
 }  // namespace fennellane::fleet
--- a/src/fleet/roles.cpp
+++ b/src/fleet/roles.cpp
@@ -15,7 +15,20 @@
       refresh_role_ = i;
       refresh_.emplace(*plan.refresh, plan.seed);
     }
+    if (roles_[i] == kDrainRole && plan.coordinator) {
+      drain_role_ = i;
+      coordinator_.emplace(*plan.coordinator);
+    }
   }
+  if (plan.slot) slot_.emplace(*plan.slot);
+  if (plan.slot && plan.mover) mover_.emplace(*plan.mover);
+}
+
+std::vector<std::string> Fleet::parts() const {
+  std::vector<std::string> all = roles_;
+  if (slot_) all.emplace_back("(slot)");
+  if (mover_) all.emplace_back("(mover)");
+  return all;
 }
 
 std::vector<Effect> Fleet::handle(Time now, const Input& input) {
@@ -43,8 +56,12 @@
       of_refresh = refresh_->acts(now, act->token, leases_[role].session());
     else if (role == refresh_role_ && std::holds_alternative<lease::Stop>(effect))
       of_refresh = refresh_->stops(now);
+    std::vector<release::CoordinatorEffect> of_drain;
+    if (role == drain_role_ && act) of_drain = coordinator_->acts(now, act->token, leases_[role].session());
+    if (role == drain_role_ && std::holds_alternative<lease::Stop>(effect)) coordinator_->stops();
     out.emplace_back(LeaseDo{role, std::move(effect)});
     refresh(now, std::move(of_refresh), out);
+    coordinator(now, std::move(of_drain), out);
   }
 }
 
@@ -75,6 +92,65 @@
   refresh(now, refresh_->handle(now, heard.input), out);
 }
 
+// --- Drains and releases
+void Fleet::slot(Time now, std::vector<drain::Effect> effects, Effects& out) {
+  for (drain::Effect& effect : effects) {
+    const auto* const go = std::get_if<drain::GoOut>(&effect);
+    if (go && go->purpose == drain::Purpose::release && mover_) {
+      mover(now, mover_->handle(now, release::SlotGranted{}), out);
+    } else {
+      out.emplace_back(DrainDo{std::move(effect)});
+    }
+  }
+}
+
+void Fleet::mover(Time now, std::vector<release::MoverEffect> effects, Effects& out) {
+  for (release::MoverEffect& effect : effects) {
+    if (std::holds_alternative<release::AskSlot>(effect)) {
+      slot(now, slot_->handle(now, drain::Ask{drain::Purpose::release}), out);
+    } else if (std::holds_alternative<release::LeaveSlot>(effect)) {
+      // Guards a stop that has taken its place.
+      const bool ours = slot_->purpose() == drain::Purpose::release;
+      slot(now,
+           slot_->handle(now, ours ? drain::Input(drain::Back{}) : drain::Cancel{drain::Purpose::release}),
+           out);
+    } else {
+      out.emplace_back(MoverDo{std::move(effect)});
+    }
+  }
+}
+
+void Fleet::coordinator(Time now, std::vector<release::CoordinatorEffect> effects, Effects& out) {
+  for (release::CoordinatorEffect& effect : effects) {
+    // Guards against a step on behalf of a role whose lease has run out unheard.
+    if (std::holds_alternative<release::WriteState>(effect) && !leases_[*drain_role_].may_act(now)) {
+      coordinator_->handle(now, release::StateWritten{release::StateWritten::How::failed});
+      continue;
+    }
+    out.emplace_back(CoordinatorDo{std::move(effect)});
+  }
+}
+
+void Fleet::on(Time now, const DrainHeard& heard, Effects& out) {
+  if (slot_) slot(now, slot_->handle(now, heard.input), out);
+}
+
+void Fleet::on(Time now, const ReleaseSeen& seen, Effects& out) {
+  if (mover_) mover(now, mover_->handle(now, seen.seen), out);
+  if (coordinator_) coordinator(now, coordinator_->handle(now, seen.seen), out);
+}
+
+void Fleet::on(Time now, const MoverHeard& heard, Effects& out) {
+  if (!mover_) return;
+  release::MoverInput input = heard.input;
+  if (auto* due = std::get_if<release::ReportDue>(&input)) due->waits = slot_->waits_for();
+  mover(now, mover_->handle(now, input), out);
+}
+
+void Fleet::on(Time now, const CoordinatorHeard& heard, Effects& out) {
+  if (coordinator_) coordinator(now, coordinator_->handle(now, heard.input), out);
+}
+
 void Fleet::work_later(Time at, Effects& out) { out.emplace_back(SetWorkTimer{at}); }
 
 const lease::Lease* Fleet::sweeping(Time now, Token token) const {
@@ -152,6 +228,11 @@
     const lease::Lease& lease = leases_[*refresh_role_];
     if (lease.may_act(now)) refresh(now, refresh_->acts(now, *lease.token(), lease.session()), out);
   }
+  if (drain_role_ && leases_[*drain_role_].may_act(now)) {
+    const lease::Lease& lease = leases_[*drain_role_];
+    coordinator(now, coordinator_->acts(now, *lease.token(), lease.session()), out);
+  }
+  if (slot_) slot(now, slot_->resume(now), out);
   return out;
 }
 
--- a/src/fleet/roles.hpp
+++ b/src/fleet/roles.hpp
@@ -9,8 +9,11 @@
 #include <variant>
 #include <vector>
 
+#include "coordinator.hpp"
 #include "lease.hpp"
+#include "mover.hpp"
 #include "refresh.hpp"
+#include "slot.hpp"
 #include "sweep.hpp"
 #include "written.hpp"
 
@@ -20,12 +23,16 @@
 struct Plan {
   std::vector<std::string> roles;
   lease::Timing timing;
-  std::optional<SweepSettings> sweep;      // where "sweep" is among them
-  std::optional<RefreshSettings> refresh;  // where "refresh" is
+  std::optional<SweepSettings> sweep;                       // where "sweep" is among them
+  std::optional<RefreshSettings> refresh;                   // where "refresh" is
+  std::optional<drain::SlotSettings> slot;                  // of the disruption budget
+  std::optional<release::MoverSettings> mover;              // with `slot`: staged releases
+  std::optional<release::CoordinatorSettings> coordinator;  // where "drain" is among the roles
   std::uint64_t seed = 0;
 };
 inline constexpr const char* kSweepRole = "sweep";
 inline constexpr const char* kRefreshRole = "refresh";
+inline constexpr const char* kDrainRole = "drain";
 
 // --- Inputs
 struct Seek {};    // the relay is ready: its roles are sought
@@ -48,8 +55,20 @@
 struct RefreshHeard {
   RefreshInput input;
 };
-using Input =
-    std::variant<Seek, Resign, LeaseHeard, RegistrationsRead, RegistrationsRemoved, WorkDue, RefreshHeard>;
+struct DrainHeard {
+  drain::Input input;
+};
+struct ReleaseSeen {  // by the mover and the coordinator
+  release::StateSeen seen;
+};
+struct MoverHeard {
+  release::MoverInput input;
+};
+struct CoordinatorHeard {
+  release::CoordinatorInput input;
+};
+using Input = std::variant<Seek, Resign, LeaseHeard, RegistrationsRead, RegistrationsRemoved, WorkDue,
+                           RefreshHeard, DrainHeard, ReleaseSeen, MoverHeard, CoordinatorHeard>;
 
 // --- Effects
 struct LeaseDo {
@@ -74,7 +93,17 @@
 struct RefreshDo {  // of all but StepDown, which ends at the lease
   RefreshEffect effect;
 };
-using Effect = std::variant<LeaseDo, ReadRegistrations, RemoveRegistrations, SetWorkTimer, Swept, RefreshDo>;
+struct DrainDo {  // GoOut of all but a release, which the mover takes up
+  drain::Effect effect;
+};
+struct MoverDo {  // Move, WriteReport, SetReportTimer
+  release::MoverEffect effect;
+};
+struct CoordinatorDo {
+  release::CoordinatorEffect effect;
+};
+using Effect = std::variant<LeaseDo, ReadRegistrations, RemoveRegistrations, SetWorkTimer, Swept, RefreshDo,
+                            DrainDo, MoverDo, CoordinatorDo>;
 
 struct Counts {
   std::uint64_t acquired = 0, renews_missed = 0, lapsed = 0, lost = 0, given_up = 0;
@@ -88,9 +117,11 @@
 
   std::vector<Effect> handle(Time now, const Input& input);
 
-  const std::vector<std::string>& roles() const { return roles_; }
+  // What its memory holds, in order: another's can be taken up where both have the same.
+  std::vector<std::string> parts() const;
   const Counts& counts() const { return counts_; }
   bool follows() const { return refresh_ && refresh_->follows(); }  // the shared list
+  const drain::Slot* slot() const { return slot_ ? &*slot_ : nullptr; }
 
   // Of a process that takes over from another: the leases go on, what was under way is asked for again.
   template <class Archive>
@@ -106,7 +137,14 @@
   void on(Time now, const RegistrationsRemoved& removed, Effects& out);
   void on(Time now, const WorkDue&, Effects& out);
   void on(Time now, const RefreshHeard& heard, Effects& out);
+  void on(Time now, const DrainHeard& heard, Effects& out);
+  void on(Time now, const ReleaseSeen& seen, Effects& out);
+  void on(Time now, const MoverHeard& heard, Effects& out);
+  void on(Time now, const CoordinatorHeard& heard, Effects& out);
   void refresh(Time now, Refresh::Effects effects, Effects& out);
+  void slot(Time now, std::vector<drain::Effect> effects, Effects& out);
+  void mover(Time now, std::vector<release::MoverEffect> effects, Effects& out);
+  void coordinator(Time now, std::vector<release::CoordinatorEffect> effects, Effects& out);
   void tell(Time now, std::uint32_t role, const lease::Input& input, Effects& out);
   void work_later(Time at, Effects& out);
   // The sweep's lease, where it may act with this token now.
@@ -118,6 +156,10 @@
   std::optional<Sweep> sweep_;
   std::optional<std::uint32_t> refresh_role_;
   std::optional<Refresh> refresh_;
+  std::optional<drain::Slot> slot_;
+  std::optional<release::Mover> mover_;
+  std::optional<std::uint32_t> drain_role_;
+  std::optional<release::Coordinator> coordinator_;
   bool working_ = false;      // a call of the sweep's is out
   std::size_t removing_ = 0;  // registrations, in the transaction that is out
   Counts counts_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -18,6 +18,7 @@
 #include "new_process.hpp"
 #include "owners.hpp"
 #include "relay.hpp"
+#include "release_command.hpp"
 #include "report.hpp"
 #include "watch.hpp"
 
@@ -132,12 +133,15 @@
   }
 }
 
-int owners(const std::string& config_path, const std::string& settings_path) {
+// Asks Consul something on behalf of the operators: `ask` gets the configuration, whose section fleet is
+// there, and a place for what went wrong, and returns false then.
+template <class Ask>
+int ask_fleet(const std::string& config_path, const std::string& settings_path, Ask ask) {
   try {
     const fennellane::Config config = fennellane::read_config(config_path, settings_path);
     if (!config.fleet) throw fennellane::ConfigError("the settings have no section fleet");
     std::string trouble;
-    if (fennellane::print_owners(*config.consul, *config.fleet, config.limits, std::cout, trouble)) return 0;
+    if (ask(config, trouble)) return 0;
     std::fprintf(stderr, "fennellane: %s\n", trouble.c_str());
     return 1;
   } catch (const fennellane::ConfigError& e) {
@@ -146,6 +150,74 @@
   }
 }
 
+using fennellane::ReleaseOrder;
+
+// The budget's subcommand: as it stands, or set anew.
+struct BudgetCommand {
+  CLI::App* command = nullptr;
+  fennellane::drain::Cap cap{0, 0, 0};
+
+  void add(CLI::App& app, const std::function<void(CLI::App*)>& add_config) {
+    command =
+        app.add_subcommand("budget", "show how many relays may be out at once and which are, or set it");
+    add_config(command);
+    command->add_option("--most", cap.most, "relays; 0 leaves it out");
+    command->add_option("--per-zone", cap.per_zone, "relays of one zone; 0 leaves it out");
+    command->add_option("--percent", cap.percent, "of the relays registered; 0 leaves it out")
+        ->check(CLI::Range(0, 100));
+  }
+  int run(const std::string& config, const std::string& settings) const {
+    std::optional<fennellane::drain::Cap> wanted;
+    for (const char* option : {"--most", "--per-zone", "--percent"})
+      if (command->count(option) > 0) wanted = cap;
+    return ask_fleet(config, settings, [&](const fennellane::Config& c, std::string& trouble) {
+      if (wanted && wanted == fennellane::drain::Cap{0, 0, 0}) {
+        trouble = "at least one bound is needed";
+        return false;
+      }
+      return fennellane::show_budget(*c.consul, *c.fleet, c.limits, wanted, std::cout, trouble);
+    });
+  }
+};
+
+// The subcommand of staged releases.
+struct ReleaseCommand {
+  CLI::App* command = nullptr;
+  ReleaseOrder order;
+  bool stay = false;
+
+  void add(CLI::App& app, const std::function<void(CLI::App*)>& add_config) {
+    command = app.add_subcommand("release",
+                                 "take a new build through the fleet in waves, halt it, or take it back");
+    command->require_subcommand(1);
+    const auto one = [&](const char* name, const char* help, ReleaseOrder::What what) {
+      CLI::App* sub = command->add_subcommand(name, help);
+      add_config(sub);
+      sub->callback([this, what] { order.what = what; });
+      return sub;
+    };
+    one("status", "which wave it is at, and what the relays report", ReleaseOrder::What::status);
+    one("halt", "no further relay moves", ReleaseOrder::What::halt);
+    one("resume", "a halted release goes on", ReleaseOrder::What::resume);
+    one("back", "those that have moved return to the build before", ReleaseOrder::What::back);
+    CLI::App* start = one("start", "begin", ReleaseOrder::What::start);
+    start->add_option("--from", order.from, "the build that runs, by its name in the folder of builds")
+        ->required();
+    start->add_option("--to", order.to, "the new one")->required();
+    order.steps = {"1", "10%", "30%", "100%"};
+    start->add_option("--waves", order.steps, "how far each wave goes, as counts or shares; the last is 100%")
+        ->delimiter(',')
+        ->capture_default_str();
+    start->add_flag("--stay", stay, "a breach of health only halts, and nothing returns by itself");
+  }
+  int run(const std::string& config, const std::string& settings) {
+    order.auto_back = !stay;
+    return ask_fleet(config, settings, [&](const fennellane::Config& c, std::string& trouble) {
+      return fennellane::order_release(*c.consul, *c.fleet, c.limits, order, std::cout, trouble);
+    });
+  }
+};
+
 struct WhyQuestion {
   std::string id, file, ended;
   std::size_t seconds = 60, most = 20;
@@ -216,6 +288,10 @@
   CLI::App* owners_command =
       app.add_subcommand("owners", "ask Consul which relay holds which role of the fleet");
   add_config(owners_command);
+  BudgetCommand budget;
+  budget.add(app, add_config);
+  ReleaseCommand release;
+  release.add(app, add_config);
   CLI::App* upgrade_command =
       app.add_subcommand("upgrade", "let a new process take over from the one that serves");
   upgrade_command->add_option("--state", state, "the folder of the relay that serves")
@@ -255,7 +331,13 @@
     }
     if (fleet_command->parsed()) return count_fleet(records, destinations);
     if (why_command->parsed()) return why(state, question);
-    if (owners_command->parsed()) return owners(config, settings);
+    if (owners_command->parsed()) {
+      return ask_fleet(config, settings, [](const fennellane::Config& c, std::string& trouble) {
+        return fennellane::print_owners(*c.consul, *c.fleet, c.limits, std::cout, trouble);
+      });
+    }
+    if (budget.command->parsed()) return budget.run(config, settings);
+    if (release.command->parsed()) return release.run(config, settings);
     if (upgrade_command->parsed()) {
       return fennellane::upgrade::ask_for_upgrade(state, std::chrono::seconds(wait_s));
     }
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <asio/post.hpp>
 #include <csignal>
+#include <filesystem>
 #include <utility>
 
 #include "clock.hpp"
@@ -138,6 +139,10 @@
 void Relay::carry(Say& e) { log_("module", e.text); }
 
 void Relay::carry(FleetDo& e) {
+  if (const auto* slot = std::get_if<fleet::DrainDo>(&e.effect)) return carry(slot->effect);
+  if (const auto* mover = std::get_if<fleet::MoverDo>(&e.effect)) {
+    if (const auto* move = std::get_if<release::Move>(&mover->effect)) return carry(*move);
+  }
   const auto* const refresh = std::get_if<fleet::RefreshDo>(&e.effect);
   if (!refresh) return fleet_->carry(e.effect);
   if (const auto* start = std::get_if<fleet::StartOwn>(&refresh->effect)) return carry(*start);
@@ -185,24 +190,33 @@
   fleet_ =
       std::make_shared<FleetAgent>(io_, *config_.consul, wanted, config_.name, config_.limits, counters_,
                                    log_, [this](fleet::Input heard) { input(FleetHeard{std::move(heard)}); });
-  fleet::Plan plan{wanted.roles, wanted.timing, std::nullopt, std::nullopt, config_.seed};
+  fleet::Plan plan;
+  plan.roles = wanted.roles;
+  plan.timing = wanted.timing;
+  plan.seed = config_.seed;
   if (!wanted.sweep.service.empty()) plan.sweep = wanted.sweep;
   if (has_role(wanted, fleet::kRefreshRole)) plan.refresh = wanted.refresh;
+  if (wanted.drain) plan.slot = wanted.drain->slot;
+  if (wanted.release) {
+    plan.mover = wanted.release->mover;
+    plan.mover->build = std::filesystem::path(place_.command.program).filename().string();
+    plan.coordinator = wanted.release->coordinator;
+  }
   input(FleetPlanned{std::move(plan)});
   fleet_->start();
+  if (wanted.drain && !adopted_) adopt_slot();
   if (ready_) input(FleetHeard{fleet::Seek{}});
 }
 
 void Relay::on_signal(int number) {
   if (number == SIGUSR1) return print_counters();
   if (number == SIGHUP) return reload();
-  if (number != SIGUSR2) return stopping_ ? void() : stop();
+  if (number != SIGUSR2) return stopping_ ? void() : stop_asked(number);
   if (!upgrade_ || stopping_) {
     return log_("upgrade", stopping_ ? "the relay is stopping"
                                      : "upgrades are off: the settings have no section for them");
   }
-  if (!upgrade_->busy()) reloaded_ = false;
-  upgrade_->ask();
+  upgrade_asked();
 }
 
 void Relay::set_ready() {
@@ -211,6 +225,7 @@
   downstream_.set_ready();
   if (consul_) consul_->set_ready();
   if (first && fleet_ && !stopping_) input(FleetHeard{fleet::Seek{}});
+  if (first) give_slot_back();
 }
 
 void Relay::take_list(HostList list, bool cached) {
@@ -300,7 +315,9 @@
   if (upgrade_) upgrade_->call_off("the relay is to stop");
   input(StopAsked{steady_now() + limits.stop_total - limits.stop_margin});
   downstream_.send_away();
-  if (consul_) consul_->leave();
+  const fleet::Fleet* const fleet = reducer_.fleet();
+  const bool planned = fleet && fleet->slot() && fleet->slot()->step() == drain::Slot::Step::out;
+  if (consul_) consul_->leave(planned);
   if (fleet_) input(FleetHeard{fleet::Resign{}});
   stop_timer_.expires_after(limits.stop_idle);
   stop_timer_.async_wait([this, &limits](asio::error_code error) {
@@ -354,7 +371,8 @@
 void Relay::print_counters() {
   log_.report(counters_text(
       counters_, {journal_.size(), journal_.records(), journal_.compactions(), journal_.held().size()},
-      reducer_.fleet() ? &reducer_.fleet()->counts() : nullptr));
+      reducer_.fleet() ? &reducer_.fleet()->counts() : nullptr,
+      reducer_.fleet() && reducer_.fleet()->slot() ? &reducer_.fleet()->slot()->counts() : nullptr));
 }
 
 }  // namespace fennellane
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -95,6 +95,15 @@
   void hear(fleet::RefreshInput heard) { input(FleetHeard{fleet::RefreshHeard{std::move(heard)}}); }
   bool shares_list() const { return fleet_ && has_role(*config_.fleet, fleet::kRefreshRole); }
   void join_fleet();
+  void drain(drain::Input told) { input(FleetHeard{fleet::DrainHeard{std::move(told)}}); }
+  void carry(const drain::Effect& e);
+  void carry(const release::Move& e);
+  void adopt_slot();
+  void give_slot_back();
+  void stop_asked(int signal);
+  void upgrade_asked();
+  void start_upgrade(const std::string& program);
+  void outing_failed(const std::string& why);
 
   void restore();
   void on_signal(int number);
@@ -134,6 +143,14 @@
   Time noted_cpu_{};               // of this process, at the last beat
   bool ready_ = false;
   bool stopping_ = false;
+  bool stop_waits_ = false;     // for a slot of the disruption budget
+  bool upgrade_waits_ = false;  // likewise
+  bool slot_adopted_ = false;   // of an earlier life, until this one is ready
+  enum class Outing : std::uint8_t {
+    none,
+    upgrade,
+    release
+  } outing_ = Outing::none;  // that a slot was taken for
 
   const ProcessPlace place_;
   std::unique_ptr<upgrade::OldProcess> upgrade_;  // none: upgrades are off
--- a/src/relay/relay_upgrade.cpp
+++ b/src/relay/relay_upgrade.cpp
@@ -92,6 +92,9 @@
   if (!unheard_.empty()) asio::post(io_, [this] { end_unheard(); });
   if (config_.platform) notices_.start();
   join_fleet();
+  // The handover for which a slot was taken is over.
+  if (const fleet::Fleet* f = reducer_.fleet(); f && f->slot() && f->slot()->step() == drain::Slot::Step::out)
+    drain(drain::Back{});
   take_source(config_);
   inherited_watch_.clear();
   log_("upgrade", "serves after " + ms_text(pause) + ", with " + std::to_string(journal_.held().size()) +
@@ -152,6 +155,7 @@
 
 void Relay::upgrade_failed(const std::string& why) {
   upgrade::write_run_file(state_folder_, {::getpid(), 0, ++upgrades_, false, why});
+  outing_failed(why);
 }
 
 // Everything that is open stays open in the other process, so nothing is closed but by this one's end.
--- a/src/settings/consul_settings.hpp
+++ b/src/settings/consul_settings.hpp
@@ -34,6 +34,7 @@
   std::uint16_t port = 0;
   Time ttl = std::chrono::seconds(10);
   Time forget_after = std::chrono::minutes(10);
+  std::string relay, zone;  // its Meta, for the disruption budget; empty: not told
   bool operator==(const ConsulRegistration&) const = default;
 };
 
--- a/src/settings/fleet_settings.hpp
+++ b/src/settings/fleet_settings.hpp
@@ -2,13 +2,30 @@
 #pragma once
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "limits.hpp"
 #include "roles.hpp"
 
 namespace fennellane {
 
+struct DrainSettings {  // the disruption budget
+  drain::SlotSettings slot;
+  std::string service;     // of the relays in the catalogue, whose health counts; empty: none is asked
+  bool on_sigterm = true;  // a stop waits for a slot
+  bool on_upgrade = true;  // an upgrade does
+  bool operator==(const DrainSettings&) const = default;
+};
+
+struct ReleaseSettings {  // staged releases
+  std::string folder;     // of the builds: each a program, its name the build's
+  release::MoverSettings mover;
+  release::CoordinatorSettings coordinator;
+  bool operator==(const ReleaseSettings&) const = default;
+};
+
 struct FleetSettings {
   std::string prefix = "fennellane";  // of all keys in Consul
   std::vector<std::string> roles;     // that this relay may hold
@@ -17,6 +34,8 @@
   fleet::RefreshSettings refresh;
   std::string discovery;       // its name, where it has several addresses; empty: its address names it
   fleet::SweepSettings sweep;  // its service is empty where "sweep" is not among the roles
+  std::optional<DrainSettings> drain;
+  std::optional<ReleaseSettings> release;  // with `drain`
   bool operator==(const FleetSettings&) const = default;
 };
 
@@ -27,5 +46,12 @@
 inline std::string role_key(const FleetSettings& settings, const std::string& role) {
   return settings.prefix + "/role/" + role;
 }
+// The semaphore's: contenders' keys and the lock key lie below.
+inline std::string budget_prefix(const FleetSettings& settings) { return settings.prefix + "/budget/"; }
+inline std::string budget_key(const FleetSettings& settings) { return budget_prefix(settings) + ".lock"; }
+inline std::string release_key(const FleetSettings& settings) { return settings.prefix + "/release/state"; }
+inline std::string reports_prefix(const FleetSettings& settings) {
+  return settings.prefix + "/release/relay/";
+}
 
 }  // namespace fennellane
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -218,6 +218,60 @@
   return c;
 }
 
+DrainSettings read_drain(const File& file, const Config& config, Time least_ttl) {
+  const Json::Value& in = file.value()["fleet"]["drain"];
+  DrainSettings d;
+  drain::SlotSettings& s = d.slot;
+  s.relay = config.name;
+  s.zone = text_of(in, "zone");
+  s.cap.most = static_cast<std::uint32_t>(count_of(in, "most", s.cap.most));
+  s.cap.per_zone = static_cast<std::uint32_t>(count_of(in, "per-zone", s.cap.per_zone));
+  s.cap.percent = static_cast<std::uint32_t>(count_of(in, "percent", s.cap.percent));
+  if (s.cap == drain::Cap{0, 0, 0}) file.fail("fleet.drain.most", "nothing bounds how many may be out");
+  if (s.cap.per_zone > 0 && s.zone.empty()) file.fail("fleet.drain.zone", "is needed for per-zone");
+  d.service = text_of(in, "service", config.consul->registration ? config.consul->registration->service : "");
+  s.census = !d.service.empty();
+  if (s.cap.percent > 0 && !s.census) file.fail("fleet.drain.service", "is needed for percent");
+  d.on_sigterm = !in.isMember("on-sigterm") || in["on-sigterm"].asBool();
+  d.on_upgrade = !in.isMember("on-upgrade") || in["on-upgrade"].asBool();
+  s.ttl = ms_of(in, "ttl-ms", s.ttl);
+  s.renew_every = ms_of(in, "renew-ms", s.renew_every);
+  s.margin = ms_of(in, "margin-ms", s.margin);
+  s.out = ms_of(in, "out-ms", s.out);
+  s.call = ms_of(in, "call-ms", s.call);
+  s.retry = ms_of(in, "retry-ms", s.retry);
+  const std::string wrong = slot_problem(s, least_ttl);
+  if (!wrong.empty()) file.fail("fleet.drain", "its times cannot be kept: " + wrong);
+  // Guards the budget: a relay that has not come back counts as down before its slot is another's.
+  if (s.census && config.consul->registration && config.consul->registration->ttl >= s.ttl - s.margin - s.out)
+    file.fail("fleet.drain", "its times cannot be kept: the registration's ttl: under ttl - margin - out");
+  return d;
+}
+
+ReleaseSettings read_release(const File& file, const Config& config, const FleetSettings& f) {
+  const Json::Value& in = file.value()["fleet"]["release"];
+  if (!f.drain) file.fail("fleet.release", "needs a section drain");
+  if (!config.upgrade) file.fail("fleet.release", "needs a section upgrade");
+  ReleaseSettings r;
+  r.folder = text_of(in, "folder");
+  r.mover.relay = config.name;
+  r.mover.zone = f.drain->slot.zone;
+  r.mover.report_every = ms_of(in, "report-ms", r.mover.report_every);
+  release::CoordinatorSettings& c = r.coordinator;
+  c.look = r.mover.report_every;
+  c.gather = ms_of(in, "gather-ms", c.gather);
+  c.watch = ms_of(in, "watch-ms", c.watch);
+  c.most = std::max(c.watch, ms_of(in, "watch-most-ms", c.most));
+  c.move = ms_of(in, "move-ms", c.move);
+  c.silent = ms_of(in, "silent-ms", c.silent);
+  c.test.least = count_of(in, "least-ends", c.test.least);
+  c.test.z = number_of(in, "z", c.test.z);
+  c.test.difference = number_of(in, "difference", c.test.difference);
+  if (c.silent <= r.mover.report_every) file.fail("fleet.release.silent-ms", "is not above report-ms");
+  if (c.gather <= r.mover.report_every) file.fail("fleet.release.gather-ms", "is not above report-ms");
+  return r;
+}
+
 FleetSettings read_fleet(const File& file, const Config& config) {
   const Json::Value& in = file.value()["fleet"];
   if (!config.consul) file.fail("fleet", "needs a section consul, for its address");
@@ -237,7 +291,8 @@
   t.retry = ms_of(in, "retry-ms", t.retry);
   t.spread = ms_of(in, "spread-ms", t.spread);
   f.wait = ms_of(in, "wait-ms", f.wait);
-  const std::string wrong = timing_problem(t, ms_of(in, "consul-least-ttl-ms", lease::kConsulLeastTtl));
+  const Time least_ttl = ms_of(in, "consul-least-ttl-ms", lease::kConsulLeastTtl);
+  const std::string wrong = timing_problem(t, least_ttl);
   if (!wrong.empty()) file.fail("fleet", "its times cannot be kept: " + wrong);
   f.refresh.beat = ms_of(in["refresh"], "beat-ms", f.refresh.beat);
   f.refresh.stale = ms_of(in["refresh"], "stale-ms", f.refresh.stale);
@@ -254,6 +309,13 @@
   f.sweep.stale_after = ms_of(sweep, "stale-after-ms", f.sweep.stale_after);
   if (f.sweep.service.empty() && has_role(f, fleet::kSweepRole))
     file.fail("fleet.sweep.service", "is needed where the relay is not registered itself");
+  // Guards the keys that its name becomes a part of.
+  if (in.isMember("drain") && !plain_name(config.name))
+    file.fail("fleet.drain", "the relay's name is no plain one");
+  if (in.isMember("drain")) f.drain = read_drain(file, config, least_ttl);
+  if (in.isMember("release")) f.release = read_release(file, config, f);
+  if (has_role(f, fleet::kDrainRole) && !f.release) file.fail("fleet.roles", "drain needs a section release");
+  if (f.roles.empty() && !f.drain) file.fail("fleet", "names neither roles nor drain");
   return f;
 }
 
@@ -327,6 +389,10 @@
   if (config.source == MembershipSource::consul && config.consul->services.empty())
     file.fail("consul.service", "at least one is needed for membership consul");
   if (in.isMember("fleet")) config.fleet = read_fleet(file, config);
+  if (config.fleet && config.fleet->drain && config.consul->registration) {
+    config.consul->registration->relay = config.name;
+    config.consul->registration->zone = config.fleet->drain->slot.zone;
+  }
   config.keeps_list = true;
   fill_limits(config);
   return config;
--- a/src/upgrade/command.cpp
+++ b/src/upgrade/command.cpp
@@ -28,8 +28,11 @@
     std::printf("%s\n", now->last.c_str());
     return now->good ? 0 : 1;
   }
-  std::fprintf(stderr, "fennellane: process %d has not said how the upgrade went; see its log\n",
-               static_cast<int>(before->pid));
+  const auto last = read_run_file(state_folder);
+  const std::string said =
+      last && last->pid == before->pid && last->last != before->last ? ": " + last->last : "";
+  std::fprintf(stderr, "fennellane: process %d has not said how the upgrade went%s; see its log\n",
+               static_cast<int>(before->pid), said.c_str());
   return 1;
 }
 
--- a/src/upgrade/old_process.cpp
+++ b/src/upgrade/old_process.cpp
@@ -45,7 +45,10 @@
       side_(kVersions, generation, limits),
       timer_(io) {}
 
-void OldProcess::ask() { give(UpgradeAsked{}); }
+void OldProcess::ask(const std::string& program) {
+  if (!side_.busy()) program_ = program;
+  give(UpgradeAsked{});
+}
 
 void OldProcess::call_off(const std::string& why) {
   if (side_.busy()) give(Spoilt{why});
@@ -76,7 +79,9 @@
   trying_ = true;
   said_.clear();
   try {
-    Child child = launch(command_, watcher_, true);
+    CommandLine command = command_;
+    if (!program_.empty()) command.program = command.arguments.front() = program_;
+    Child child = launch(command, watcher_, true);
     const pid_t pid = child.pid;
     try {
       const int ear = copy_of(child.channel.get()), life = copy_of(child.life.get());
@@ -93,7 +98,7 @@
     }
     await_word();
     await_end();
-    log_("upgrade", "process " + std::to_string(pid) + " is started: " + command_.program);
+    log_("upgrade", "process " + std::to_string(pid) + " is started: " + command.program);
     give(Started{});
   } catch (const std::exception& e) {
     give(Started{e.what()});
--- a/src/upgrade/old_process.hpp
+++ b/src/upgrade/old_process.hpp
@@ -44,8 +44,8 @@
   OldProcess(asio::io_context& io, CommandLine command, pid_t watcher, handover::Generation generation,
              const handover::Limits& limits, Upgradable& relay, Log& log);
 
-  void ask();                             // for an upgrade
-  void call_off(const std::string& why);  // one that is under way; the new process is killed
+  void ask(const std::string& program = {});  // for an upgrade; empty: to the program of the command
+  void call_off(const std::string& why);      // one that is under way; the new process is killed
   bool busy() const { return side_.busy(); }
 
  private:
@@ -82,6 +82,7 @@
   std::deque<handover::OldInput> inputs_;
   bool at_work_ = false;
   bool trying_ = false;
+  std::string program_;  // of the upgrade that is under way
   bool frozen_ = false;
   std::string said_;  // why the newest try has failed
 
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -199,8 +199,8 @@
   EXPECT_NE(find<CreateSession>(lease.handle(seconds(22), TimeDue{})), nullptr);
 }
 
-// Found with 300 relays: while the lock-delay ran the key looked free, and all who waited made sessions and were
-// refused, some more than once.
+// Found with 300 relays: while the lock-delay ran the key looked free, and all who waited made sessions and
+// were refused, some more than once.
 TEST(Lease, SitsOutTheLockDelayOfALockThatLapsed) {
   Timing timing = short_timing();
   timing.lock_delay = seconds(6);
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 
 #include "command.hpp"
+#include "consul_json.hpp"
 #include "fleet_agent.hpp"
 #include "fleet_lab.hpp"
 
--- a/tools/standin/consul_store.cpp
+++ b/tools/standin/consul_store.cpp
@@ -510,6 +510,13 @@
     erase(key);
     return "";
   }
+  if (verb == "delete-tree") {
+    std::vector<std::string> all;
+    for (auto at = keys_.lower_bound(key); at != keys_.end() && at->first.starts_with(key); ++at)
+      all.push_back(at->first);
+    for (const std::string& each : all) erase(each);
+    return "";
+  }
   if (verb == "delete-cas") {
     if (modify != wanted) return "failed to delete key \"" + key + "\", index is stale";
     erase(key);
