--- a/src/drain/budget.cpp
+++ b/src/drain/budget.cpp
@@ -16,20 +16,20 @@
   for (const Holder& h : budget.holders) out[h.relay] = h.zone;
   for (const Down& d : census.down) out.emplace(d.relay, d.zone);
   out.erase(relay);
-  const auto over = [&](std::size_t count, std::uint32_t bound, const std::string& of) {
+  const auto over = [&](std::size_t count, std::uint32_t bound, const std::string& of, bool of_zone) {
     std::string names;
-    for (const auto& [each, at] : out) names += " " + each;
+    for (const auto& [each, at] : out) names += of_zone && at != zone ? "" : " " + each;
     return std::to_string(count) + " of " + std::to_string(bound) + " are out" + of + ":" + names;
   };
   const Cap& cap = budget.cap;
-  if (cap.most > 0 && out.size() >= cap.most) return over(out.size(), cap.most, "");
+  if (cap.most > 0 && out.size() >= cap.most) return over(out.size(), cap.most, "", false);
   if (cap.percent > 0) {
     const std::uint32_t share = std::max(1u, census.relays * cap.percent / 100);
-    if (out.size() >= share) return over(out.size(), share, " by the share");
+    if (out.size() >= share) return over(out.size(), share, " by the share", false);
   }
   const auto in_zone = static_cast<std::size_t>(
       std::count_if(out.begin(), out.end(), [&](const auto& each) { return each.second == zone; }));
-  if (cap.per_zone > 0 && in_zone >= cap.per_zone) return over(in_zone, cap.per_zone, " in zone " + zone);
+  if (cap.per_zone > 0 && in_zone >= cap.per_zone) return over(in_zone, cap.per_zone, " in zone " + zone, true);
   return "";
 }
 
--- a/src/drain/slot.cpp
+++ b/src/drain/slot.cpp
@@ -74,6 +74,14 @@
     out.emplace_back(EndSession{session_});
     return;
   }
+  if (step_ == Step::held && lasts(now)) {
+    step_ = Step::out;
+    why_.clear();
+    watch(false, out);
+    out.emplace_back(Say{std::string("goes out to ") + name_of(*wanted_) + ", session " + session_});
+    out.emplace_back(GoOut{*wanted_, session_});
+    return;
+  }
   if (step_ == Step::off || now < next_try_) return;
   if (session_.empty()) {
     step_ = Step::making;
@@ -81,20 +89,11 @@
     out.emplace_back(MakeSession{settings_.ttl});
     return;
   }
-  const bool too_short = step_ == Step::held && !lasts(now);
-  if (too_short || now >= confirmed_ + settings_.renew_every) {
+  if (step_ == Step::held || now >= confirmed_ + settings_.renew_every) {
     call_ = Call::renew;
     out.emplace_back(Renew{session_});
     return;
   }
-  if (step_ == Step::held) {
-    step_ = Step::out;
-    why_.clear();
-    watch(false, out);
-    out.emplace_back(Say{std::string("goes out to ") + name_of(*wanted_) + ", session " + session_});
-    out.emplace_back(GoOut{*wanted_, session_});
-    return;
-  }
   if (step_ != Step::waiting || !seen_ || now < next_ask_ || refused_at_ == seen_->index) return;
   // What the holders alone forbid only a change of the budget allows.
   Budget by_count = live();
--- a/src/release/coordinator.hpp
+++ b/src/release/coordinator.hpp
@@ -25,7 +25,7 @@
   Time most = std::chrono::minutes(10);    // likewise, where there is too little traffic to tell
   Time move = std::chrono::minutes(5);     // from a wave's beginning until all of it have moved
   Time silent = std::chrono::seconds(20);  // without a report a relay does not count as serving
-  Test test;
+  HealthTest test;
   bool operator==(const CoordinatorSettings&) const = default;
 };
 
--- a/src/release/state.cpp
+++ b/src/release/state.cpp
@@ -14,7 +14,7 @@
 std::uint64_t growth(std::uint64_t before, std::uint64_t now) { return now >= before ? now - before : now; }
 
 // Whether the share k1/n1 is above k2/n2 by more than chance: the score test of two proportions.
-bool above(std::uint64_t k1, std::uint64_t n1, std::uint64_t k2, std::uint64_t n2, const Test& test) {
+bool above(std::uint64_t k1, std::uint64_t n1, std::uint64_t k2, std::uint64_t n2, const HealthTest& test) {
   if (n1 < test.least || n2 < test.least) return false;
   const auto a = static_cast<double>(n1), b = static_cast<double>(n2);
   const double p1 = static_cast<double>(k1) / a, p2 = static_cast<double>(k2) / b;
@@ -110,11 +110,11 @@
   return waves;
 }
 
-bool tells(const Sums& moved, const Sums& rest, const Test& test) {
+bool tells(const Sums& moved, const Sums& rest, const HealthTest& test) {
   return moved.ends >= test.least && rest.ends >= test.least;
 }
 
-std::string worse(const Sums& m, const Sums& r, const Test& test) {
+std::string worse(const Sums& m, const Sums& r, const HealthTest& test) {
   if (above(m.bad, m.ends, r.bad, r.ends, test)) return shares("undelivered", m.bad, m.ends, r.bad, r.ends);
   if (above(m.late, m.ends, r.late, r.ends, test)) return shares("late", m.late, m.ends, r.late, r.ends);
   if (above(m.refused, m.asked, r.refused, r.asked, test))
--- a/src/release/state.hpp
+++ b/src/release/state.hpp
@@ -74,14 +74,14 @@
                                                  const std::vector<std::string>& steps);
 
 // Holds those that have moved against the rest. Empty: nothing says that they are worse.
-struct Test {
+struct HealthTest {
   std::uint64_t least = 50;  // of each side, before anything is said
   double z = 4;              // one-sided score test of two shares, pooled: 3 in 100,000 by chance
   double difference = 0.02;  // and so much worse at least
-  bool operator==(const Test&) const = default;
+  bool operator==(const HealthTest&) const = default;
 };
-std::string worse(const Sums& moved, const Sums& rest, const Test& test);
+std::string worse(const Sums& moved, const Sums& rest, const HealthTest& test);
 // Both sides have enough for the test to tell.
-bool tells(const Sums& moved, const Sums& rest, const Test& test);
+bool tells(const Sums& moved, const Sums& rest, const HealthTest& test);
 
 }  // namespace fennellane::release
