Drains and releases: a lab of several processes, its budget checked, and a lost wake-up mended

Cause: the newer read of the budget came before the refusal of a transaction and was taken for the one that was refused (Slot::on(SlotAnswer)). The lab draws upgrades, stops, pauses, kills and cut paths around a budget; the checker counts slots by live sessions and relays that are out; a store whose check-and-set takes any value is found.

--- a/src/drain/budget.cpp
+++ b/src/drain/budget.cpp
@@ -29,7 +29,8 @@
   }
   const auto in_zone = static_cast<std::size_t>(
       std::count_if(out.begin(), out.end(), [&](const auto& each) { return each.second == zone; }));
-  if (cap.per_zone > 0 && in_zone >= cap.per_zone) return over(in_zone, cap.per_zone, " in zone " + zone, true);
+  if (cap.per_zone > 0 && in_zone >= cap.per_zone)
+    return over(in_zone, cap.per_zone, " in zone " + zone, true);
   return "";
 }
 
--- a/src/drain/slot.cpp
+++ b/src/drain/slot.cpp
@@ -124,6 +124,7 @@
   std::erase_if(next.holders, [this](const Holder& h) { return h.relay == settings_.relay; });
   next.holders.push_back({session_, settings_.relay, settings_.zone});
   call_ = Call::take;
+  asked_at_ = seen_->index;
   out.emplace_back(TakeSlot{session_, seen_->index, std::move(next)});
 }
 
@@ -230,7 +231,9 @@
   call_ = Call::none;
   if (answer.taken) return hold(out);
   ++counts_.refused;
-  if (seen_) refused_at_ = seen_->index;  // what was read is old: the next read tells
+  // What it named is old. A newer read may have come before this answer, and is as good as one that comes
+  // after it.
+  refused_at_ = asked_at_;
 }
 
 void Slot::on(Time now, const CallFailed&, Effects& out) {
--- a/src/drain/slot.hpp
+++ b/src/drain/slot.hpp
@@ -190,7 +190,8 @@
   Time next_try_{};                          // no create before it
   Time next_ask_{};                          // no slot is asked for before it
   std::optional<BudgetSeen> seen_;           // newest
-  std::optional<std::uint64_t> refused_at_;  // the index that a refused transaction named
+  std::uint64_t asked_at_ = 0;               // the index that the newest transaction named
+  std::optional<std::uint64_t> refused_at_;  // the same of one that was refused
   std::string why_;
   std::optional<Time> timer_;
   SlotCounts counts_;
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -147,6 +147,15 @@
   EXPECT_NE(find<TakeSlot>(sees(seconds(3), Budget{{1, 0, 0}, {}}, 12)), nullptr);
 }
 
+// Found with several relays: the newer read came before the refusal, and was taken for the one that was refused; the
+// relay waited for a change that did not come.
+TEST_F(SlotTest, AReadThatOvertakesARefusalCounts) {
+  contend();
+  ASSERT_NE(find<TakeSlot>(sees(seconds(1), std::nullopt, 0)), nullptr);
+  sees(seconds(1), Budget{{1, 0, 0}, {}}, 12);
+  EXPECT_NE(find<TakeSlot>(slot.handle(seconds(1), SlotAnswer{false})), nullptr);
+}
+
 TEST_F(SlotTest, ComesBehindThoseWhoAskedBeforeIt) {
   contend();
   EXPECT_EQ(find<TakeSlot>(sees(seconds(1), std::nullopt, 0, {{"s0", 3}, {"s2", 4}, {"s1", 5}})), nullptr);
--- a/tools/harness/fleet_lab.cpp
+++ b/tools/harness/fleet_lab.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <sstream>
 #include <thread>
+#include <utility>
 
 #include "load.hpp"
 
@@ -13,7 +14,6 @@
 
 using std::chrono::steady_clock;
 
-constexpr const char* kRole = "lab/role/sweep";
 constexpr const char* kService = "relays";
 
 std::string ms(const char* name, int value) {
@@ -24,6 +24,7 @@
   standin::StoreRules rules;
   rules.least_ttl = milliseconds(100);  // as agents with a low session_ttl_min
   rules.fence = settings.fence;
+  rules.cas = settings.cas;
   // Anything between its TTL and twice that.
   rules.ttl_slack = ttl_slack(settings.seed);
   return rules;
@@ -31,11 +32,24 @@
 
 }  // namespace
 
+milliseconds add_budget(LabSettings& settings, std::size_t most, std::size_t per_zone, bool stops) {
+  // Of the sessions; the roles' are the lease's own.
+  const int ttl = stops ? 11000 : 1800;
+  settings.most = most;
+  settings.per_zone = per_zone;
+  settings.drain = "(drain (zone \"@zone\") (most " + std::to_string(most) + ") (per-zone " +
+                   std::to_string(per_zone) + ") " + ms("ttl", ttl) + ms("renew", stops ? 1000 : 300) +
+                   ms("margin", 100) + ms("out", stops ? 9000 : 1000) + ms("call", stops ? 500 : 150) +
+                   ms("retry", 50) + ") ";
+  settings.more += "(upgrade (start-ms 20000) (state-ms 20000) (taken-ms 20000))\n";
+  return milliseconds(ttl);
+}
+
 double ttl_slack(std::uint64_t seed) { return 1 + static_cast<double>(seed % 5) / 4; }
 
 std::string text_of(const Fault& f) {
-  constexpr const char* kNames[] = {
-      "pause", "kill", "end", "consul_path", "partner_path", "late_write", "consul_restart", "consul_loss"};
+  constexpr const char* kNames[] = {"pause",  "kill",    "end",        "consul_path",    "partner_path",
+                                    "outing", "upgrade", "late_write", "consul_restart", "consul_loss"};
   std::string text = std::to_string(f.at.count()) + " ms: " + kNames[static_cast<int>(f.kind)];
   if (f.kind == Fault::Kind::consul_path || f.kind == Fault::Kind::partner_path)
     text += std::string(" ") + name_of(f.path);
@@ -81,6 +95,37 @@
   return faults;
 }
 
+std::vector<Fault> draw_outings(std::uint64_t seed, std::size_t count, std::size_t relays, milliseconds ttl,
+                                bool stops) {
+  std::mt19937_64 random(seed);
+  const auto draw = [&random](int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(random);
+  };
+  std::vector<Fault> faults;
+  int at = 300;
+  for (std::size_t i = 0; i < count; ++i) {
+    Fault f;
+    const int kind = draw(0, 99);
+    f.kind = kind < 60   ? (stops && kind < 30 ? Fault::Kind::outing : Fault::Kind::upgrade)
+             : kind < 74 ? Fault::Kind::pause
+             : kind < 80 ? Fault::Kind::kill
+             : kind < 96 ? Fault::Kind::consul_path
+                         : Fault::Kind::consul_restart;
+    at += draw(0, 3) == 0 ? draw(0, 400) : draw(0, 40);
+    f.at = milliseconds(at);
+    const int spans[] = {60, static_cast<int>(ttl.count()) / 2, static_cast<int>(ttl.count()) * 5 / 2};
+    f.span = milliseconds(spans[draw(0, 2)]);
+    f.relay = draw(0, static_cast<int>(relays) - 1);
+    f.path = static_cast<PathFault>(draw(1, kPathFaults - 1));
+    faults.push_back(f);
+  }
+  return faults;
+}
+
+std::string FleetLab::zone(std::size_t i) const {
+  return std::string(1, static_cast<char>('a' + i % settings_.zones));
+}
+
 FleetLab::FleetLab(const LabSettings& settings)
     : settings_(settings), consul_(rules_of(settings)), partner_(milliseconds(3)) {
   for (std::size_t i = 0; i < settings_.relays; ++i) {
@@ -102,6 +147,8 @@
 std::string FleetLab::settings_text(std::size_t i) const {
   const Member& m = *members_[i];
   const LabTiming& t = settings_.timing;
+  std::string drain = settings_.drain;
+  if (const std::size_t at = drain.find("@zone"); at != std::string::npos) drain.replace(at, 5, zone(i));
   return "(name \"r" + std::to_string(i) + "\") (listen \"" + m.process->address() + "\")\n" +
          "(limits (sockets 256) (memory-mb 64) (disk-mb 3)) (log (lines 100000))\n"
          "(class (name \"note\") (effect \"free\") (aim-ms 2000) (give-up-ms 20000) (late-worth 0.4))\n"
@@ -109,10 +156,10 @@
          "(tenant (name \"north\") (rate 100)) (delivery (connect-ms 300))\n"
          "(membership \"list\") (host (id \"p\") (address \"" +
          m.to_partner->address() + "\") (destination 0) (rate 1000))\n" + "(consul (address \"" +
-         m.to_consul->address() + "\"))\n(fleet (prefix \"lab\") (roles \"sweep\") " + ms("ttl", t.ttl) +
-         ms("renew", t.renew) + ms("margin", t.margin) + ms("lock-delay", t.lock_delay) + ms("call", t.call) +
-         ms("retry", t.retry) + ms("spread", t.spread) + ms("wait", t.wait) +
-         "(consul-least-ttl-ms 100) (sweep (service \"" + kService +
+         m.to_consul->address() + "\"))\n(fleet (prefix \"lab\") (roles \"" + settings_.role + "\") " +
+         drain + ms("ttl", t.ttl) + ms("renew", t.renew) + ms("margin", t.margin) +
+         ms("lock-delay", t.lock_delay) + ms("call", t.call) + ms("retry", t.retry) + ms("spread", t.spread) +
+         ms("wait", t.wait) + "(consul-least-ttl-ms 100) (sweep (service \"" + kService +
          "\") (every-ms 20) (stale-after-ms 0)))\n" + settings_.more;
 }
 
@@ -129,6 +176,7 @@
   using Kind = standin::StoreEvent::Kind;
   std::string name;
   for (const standin::StoreEvent& e : consul_.events()) {
+    if (e.key != "lab/role/" + settings_.role) continue;
     if (e.kind == Kind::acquired) name = e.value;
     if (e.kind == Kind::released || e.kind == Kind::lost) name.clear();
   }
@@ -166,7 +214,7 @@
 bool FleetLab::offer_to(std::size_t i) {
   const bool pay = offered_ / members_.size() % 2 == 0;
   const std::string id = "m" + std::to_string(offered_++);
-  if (members_[i]->process->ask(standin::message_text(id, pay, 0, 200, "20000")) != 202) return false;
+  if (members_[i]->process->ask(standin::message_text(id, pay, 0, 200, std::to_string(settings_.time_left_ms))) != 202) return false;
   taken_[id] = "r" + std::to_string(i);
   if (pay) pays_.insert(id);
   return true;
@@ -176,13 +224,20 @@
   Member& m = *members_[relay];
   switch (f.kind) {
     case Fault::Kind::pause:
-      if (m.up) m.process->signal(SIGSTOP);
+      if (m.up) ::kill(m.stopped = m.process->serving(), SIGSTOP);
+      m.disturbed = m.disturbed || m.leaves;
       m.up = false;
       break;
+    case Fault::Kind::outing:
+      ask_outing(relay);
+      break;
+    case Fault::Kind::upgrade:
+      if (m.up && !m.leaves) m.process->signal(SIGUSR2);
+      break;
     case Fault::Kind::kill:
     case Fault::Kind::end:
       if (m.up) m.process->end(f.kind == Fault::Kind::kill ? SIGKILL : SIGTERM);
-      m.up = false;
+      m.up = m.leaves = m.disturbed = false;
       break;
     case Fault::Kind::consul_path:
       m.to_consul->set(f.path, milliseconds(settings_.timing.margin));
@@ -211,8 +266,9 @@
   Member& m = *members_[relay];
   switch (f.kind) {
     case Fault::Kind::pause:
-      m.process->signal(SIGCONT);
-      m.up = true;
+      if (m.stopped > 0) ::kill(m.stopped, SIGCONT);
+      m.up = m.stopped > 0 || m.up;
+      m.stopped = 0;
       break;
     case Fault::Kind::kill:
     case Fault::Kind::end:
@@ -231,8 +287,39 @@
   }
 }
 
+void FleetLab::ask_outing(std::size_t relay) {
+  Member& m = *members_[relay];
+  if (!m.up || m.leaves) return;
+  m.leaves = true;
+  m.process->signal(SIGTERM);
+}
+
+// Those that have gone start again, and with that their outage by plan is over. It began when they let go of
+// their clients, which is limits.stop_total before they end; a part of that is left out, so that no outage
+// counts as longer than it was.
+void FleetLab::bring_back() {
+  constexpr milliseconds kSurelyOut{2900};
+  for (std::size_t i = 0; i < members_.size(); ++i) {
+    Member& m = *members_[i];
+    if (!m.leaves || !m.process->ended()) continue;
+    const auto ended = steady_clock::now();
+    m.process->start();
+    m.leaves = false;
+    if (!std::exchange(m.disturbed, false))
+      outages_.push_back({"r" + std::to_string(i), zone(i), ended - kSurelyOut, steady_clock::now()});
+  }
+}
+
 bool FleetLab::settled() {
-  if (holder() >= members_.size() || registrations_left() > 0) return false;
+  bring_back();
+  if (std::any_of(members_.begin(), members_.end(), [](const auto& m) { return m->leaves; })) return false;
+  if (!settings_.drain.empty()) {
+    // Nothing of the budget but its lock key: no slot is held and nobody waits for one.
+    const standin::StoreAnswer left = consul_.ask({"GET", "/v1/kv/lab/budget/", {{"recurse", ""}}, ""});
+    if (left.status == 200 && left.body.find("\"Session\"") != std::string::npos) return false;
+  }
+  if (holder() >= members_.size()) return false;
+  if (settings_.role == "sweep" && registrations_left() > 0) return false;
   return std::all_of(members_.begin(), members_.end(),
                      [](const auto& m) { return m->process->counter("journal.held") == 0; });
 }
@@ -266,6 +353,7 @@
         begin(f, relay);
       } else if (!busy[relay]) {
         begin(f, relay);
+        if (f.kind == Fault::Kind::outing || f.kind == Fault::Kind::upgrade) continue;
         busy[relay] = true;
         standing.push_back({f, relay, steady_clock::now() + f.span});
       }
@@ -274,8 +362,9 @@
       offer();
       last_offer = now;
     }
+    bring_back();
     if (now - last_left > milliseconds(40)) {
-      leave_registration();
+      if (settings_.role == "sweep") leave_registration();
       last_left = now;
     }
     std::this_thread::sleep_for(milliseconds(1));
@@ -293,16 +382,20 @@
   h.pays = pays_;
   h.lock_delay = milliseconds(settings_.timing.lock_delay);
   h.state_kept = state_kept_;
+  h.outages = outages_;
+  h.most = settings_.most;
+  h.per_zone = settings_.per_zone;
   for (std::size_t i = 0; i < members_.size(); ++i) {
     const std::string name = "r" + std::to_string(i);
     h.held += members_[i]->process->counter("journal.held");
     std::istringstream log(members_[i]->process->log());
     for (std::string line; std::getline(log, line);) {
-      const std::string told = name + ": undelivered: ", acts = name + ": lease: sweep: acts, token ";
+      const std::string told = name + ": undelivered: ",
+                        acts = name + ": lease: " + settings_.role + ": acts, token ";
       if (line.starts_with(told))
         h.undelivered.insert(line.substr(told.size(), line.rfind(':') - told.size()));
       if (line.starts_with(acts))
-        h.claims.push_back({name, "sweep", true, std::stoull(line.substr(acts.size()))});
+        h.claims.push_back({name, settings_.role, true, std::stoull(line.substr(acts.size()))});
     }
   }
   return h;
--- a/tools/harness/fleet_lab.hpp
+++ b/tools/harness/fleet_lab.hpp
@@ -31,10 +31,17 @@
   std::size_t relays = 3;
   std::uint64_t seed = 1;
   LabTiming timing;
-  bool fence = true;       // false: a planted bug of the store
-  bool messages = true;    // clients hand in messages meanwhile
-  std::size_t faults = 4;  // of a random schedule
-  std::string more;        // settings of every relay
+  bool fence = true;         // false: a planted bug of the store
+  bool cas = true;           // false: another
+  bool messages = true;      // clients hand in messages meanwhile
+  int time_left_ms = 20000;  // of a message
+  std::size_t faults = 4;    // of a random schedule
+  std::string more;          // settings of every relay
+  std::string role = "sweep";
+  // Of the section fleet, where there is a disruption budget; `@zone` stands for the relay's zone.
+  std::string drain;
+  std::size_t most = 0, per_zone = 0;  // as `drain` has them, for the checker
+  std::size_t zones = 2;               // given in turn: a, b, a, b
 };
 
 struct Fault {
@@ -44,6 +51,8 @@
     end,             // SIGTERM, likewise
     consul_path,     // `path` between this relay and Consul for `span`
     partner_path,    // `path` between this relay and the partner for `span`
+    outing,          // SIGTERM, and a new life once it has gone, with a slot of the budget
+    upgrade,         // SIGUSR2
     late_write,      // what it next writes in its role stands still on the way for `span`, and arrives then
     consul_restart,  // its state kept
     consul_loss      // its state lost
@@ -53,12 +62,19 @@
   int relay = -1;  // -1: the one that holds the role then, or any where nobody does
   PathFault path{};
 };
+// A disruption budget of so many relays for `settings`, with times scaled down; with `stops` long enough for
+// an outing by SIGTERM, which takes 3.2 s, and without for an upgrade. Returns the time that a session lasts.
+milliseconds add_budget(LabSettings& settings, std::size_t most, std::size_t per_zone, bool stops);
 std::string text_of(const Fault& fault);
 // How many times its TTL a session lasts at this seed's store.
 double ttl_slack(std::uint64_t seed);
 // Drawn from the seed: pauses and partitions around the TTL, kills, restarts, a third of them at the holder.
 std::vector<Fault> draw_faults(std::uint64_t seed, std::size_t count, std::size_t relays,
                                const LabTiming& timing);
+// The same for a disruption budget whose sessions last `ttl`: mostly outings and upgrades, most of them close
+// together, and faults among them.
+std::vector<Fault> draw_outings(std::uint64_t seed, std::size_t count, std::size_t relays, milliseconds ttl,
+                                bool stops);
 
 class FleetLab {
  public:
@@ -84,6 +100,11 @@
   standin::ConsulAgent& consul() { return consul_; }
   std::size_t size() const { return members_.size(); }
   bool offer_to(std::size_t relay);  // one message; whether it was taken on
+  // For tests that steer it: outings that were asked for and whose relay has gone come back.
+  void ask_outing(std::size_t relay);
+  void bring_back();
+  std::size_t outages() const { return outages_.size(); }  // by plan, that are over
+  std::string zone(std::size_t relay) const;
   // A registration that its agent has left behind, for the sweep to remove; a holder that acts has work so.
   void leave_registration();
   std::size_t registrations_left();
@@ -94,6 +115,9 @@
     std::unique_ptr<FaultProxy> to_consul, to_partner;
     std::unique_ptr<standin::RelayProcess> process;
     bool up = false;
+    pid_t stopped = 0;       // by SIGSTOP
+    bool leaves = false;     // SIGTERM was sent, and it waits or goes
+    bool disturbed = false;  // and it was paused or killed meanwhile: it is out without a plan
   };
   std::string settings_text(std::size_t i) const;
   void begin(const Fault& fault, std::size_t relay);
@@ -109,6 +133,7 @@
   std::map<std::string, std::string> taken_;
   std::set<std::string> pays_;
   std::size_t offered_ = 0, left_ = 0;
+  std::vector<Outage> outages_;
   bool state_kept_ = true;
   bool recovered_ = false;
 };
--- a/tools/harness/history.cpp
+++ b/tools/harness/history.cpp
@@ -1,6 +1,9 @@
 #include "history.hpp"
 
+#include <json/json.h>
+
 #include <algorithm>
+#include <sstream>
 
 namespace fennellane::harness {
 namespace {
@@ -60,6 +63,86 @@
   return "";
 }
 
+struct SlotHolder {
+  std::string relay, zone;
+};
+
+// The holders that a transaction writes into the budget's lock key, by session; nothing where it does not.
+std::map<std::string, SlotHolder> holders_written(const std::string& transaction) {
+  std::map<std::string, SlotHolder> holders;
+  const auto parsed = [](const std::string& text) {
+    Json::Value value;
+    std::string errors;
+    std::istringstream in(text);
+    return Json::parseFromStream(Json::CharReaderBuilder(), in, &value, &errors) ? value : Json::Value();
+  };
+  for (const Json::Value& operation : parsed(transaction)) {
+    const Json::Value& kv = operation["KV"];
+    if (kv["Verb"].asString() != "cas" || !kv["Key"].asString().ends_with("/.lock")) continue;
+    const Json::Value value = parsed(standin::bytes_of_base64(kv["Value"].asString()));
+    for (const std::string& session : value["Holders"].getMemberNames()) {
+      const Json::Value& holder = value["Holders"][session];
+      holders[session] = {holder["relay"].asString(), holder["zone"].asString()};
+    }
+  }
+  return holders;
+}
+
+// Calls `at` after each slot that is taken with the zones of the relays that hold one, whatever the newest
+// list says: a session that took a slot holds it until it ends. A relay that was killed and asks anew holds
+// one, not two.
+template <class At>
+void walk_slots(const History& h, At at) {
+  std::map<std::string, SlotHolder> live;  // by session
+  for (const standin::StoreEvent& e : h.store) {
+    if (e.kind == Kind::restarted && e.value == "lost") live.clear();
+    if (e.key.find("/budget/") == std::string::npos) continue;
+    if (e.kind == Kind::lost || e.kind == Kind::released) live.erase(e.session);
+    if (e.kind != Kind::written) continue;
+    const auto holders = holders_written(e.value);
+    if (const auto own = holders.find(e.session); own != holders.end()) live.insert(*own);
+    std::map<std::string, std::string> relays;
+    for (const auto& [session, holder] : live) relays[holder.relay] = holder.zone;
+    std::vector<std::string> zones;
+    for (const auto& [relay, zone] : relays) zones.push_back(zone);
+    at(e, zones);
+  }
+}
+
+std::string breach_by_zone(const History& h, const std::vector<std::string>& zones, const std::string& what) {
+  if (h.most > 0 && zones.size() > h.most)
+    return std::to_string(zones.size()) + " " + what + " of " + std::to_string(h.most);
+  std::map<std::string, std::size_t> by_zone;
+  for (const std::string& zone : zones)
+    if (++by_zone[zone] > h.per_zone && h.per_zone > 0)
+      return std::to_string(by_zone[zone]) + " " + what + " of zone " + zone;
+  return "";
+}
+
+std::string breach_of_slots(const History& h) {
+  std::string found;
+  walk_slots(h, [&](const standin::StoreEvent& e, const std::vector<std::string>& zones) {
+    const std::string what = breach_by_zone(h, zones, "slots are held");
+    if (found.empty() && !what.empty()) found = what + ", taken by " + e.session;
+  });
+  return found;
+}
+
+std::vector<std::string> zones_out_at(const History& h, SteadyTime at) {
+  std::vector<std::string> zones;
+  for (const Outage& o : h.outages)
+    if (o.from <= at && at < o.to) zones.push_back(o.zone);
+  return zones;
+}
+
+std::string breach_of_outages(const History& h) {
+  for (const Outage& o : h.outages) {
+    const std::string what = breach_by_zone(h, zones_out_at(h, o.from), "relays are out by plan");
+    if (!what.empty()) return what + ", when " + o.relay + " went";
+  }
+  return "";
+}
+
 std::string breach_of_messages(const History& h) {
   std::map<std::string, std::size_t> calls;
   for (const Call& c : h.calls) ++calls[c.id];
@@ -78,10 +161,19 @@
 std::string breach(const History& history) {
   std::string found = breach_of_locks(history);
   if (found.empty() && history.state_kept) found = breach_of_claims(history);
+  if (found.empty() && history.state_kept) found = breach_of_slots(history);
+  if (found.empty() && history.state_kept) found = breach_of_outages(history);
   if (found.empty()) found = breach_of_messages(history);
   return found;
 }
 
+MostOut most_out(const History& h) {
+  MostOut most;
+  walk_slots(h, [&](const auto&, const auto& zones) { most.slots = std::max(most.slots, zones.size()); });
+  for (const Outage& o : h.outages) most.outages = std::max(most.outages, zones_out_at(h, o.from).size());
+  return most;
+}
+
 std::vector<std::chrono::microseconds> failovers(const History& history) {
   std::vector<std::chrono::microseconds> spans;
   std::map<std::string, SteadyTime> lapsed;
--- a/tools/harness/history.hpp
+++ b/tools/harness/history.hpp
@@ -26,6 +26,11 @@
   std::uint64_t token = 0;
 };
 
+struct Outage {  // by plan, as the lab saw it: the process was surely out for so long
+  std::string relay, zone;
+  SteadyTime from{}, to{};
+};
+
 struct History {
   std::vector<standin::StoreEvent> store;  // locks and fenced writes, in the store's order
   std::vector<Call> calls;
@@ -35,7 +40,9 @@
   std::set<std::string> pays;                // ids that must not take effect twice
   std::size_t held = 0;                      // messages without an end when the run was over
   std::chrono::milliseconds lock_delay{};
-  bool state_kept = true;  // false: Consul lost its state, and tokens may begin anew
+  std::vector<Outage> outages;
+  std::size_t most = 0, per_zone = 0;  // of the disruption budget; 0: it does not say
+  bool state_kept = true;              // false: Consul lost its state, and tokens may begin anew
 };
 
 // Empty where every rule was kept; else the first breach, in one line. The rules:
@@ -44,9 +51,17 @@
 //  2. no write of a session that does not hold the role was taken;
 //  3. a token belongs to one relay, and tokens only grow;
 //  4. every message taken on has an end: a call at the partner, or it is told as undelivered; none is held;
-//  5. a message that must not take effect twice was called at most once.
+//  5. a message that must not take effect twice was called at most once;
+//  6. no more slots of the disruption budget are held by live sessions than it says, in all and of a zone;
+//  7. no more relays are out by plan at once.
 std::string breach(const History& history);
 
+// The most slots held, and the most relays out by plan, at once.
+struct MostOut {
+  std::size_t slots = 0, outages = 0;
+};
+MostOut most_out(const History& history);
+
 // From the moment a holder's lock lapsed until another's first write was taken, one span a lapse.
 std::vector<std::chrono::microseconds> failovers(const History& history);
 
--- a/tools/modelcheck/budget_model.cpp
+++ b/tools/modelcheck/budget_model.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <utility>
 #include <vector>
 
 #include "slot.hpp"
@@ -34,6 +35,7 @@
   std::uint64_t seen_index = 0;  // of the newest read
   BudgetSeen read;               // that is on its way
   int out_until = -1;            // out by plan
+  bool late = false;             // it was paused while it was out, and is back when it wakes
   bool wants = false;
 };
 
@@ -66,13 +68,22 @@
       for (int i = 0; i < acts && broken_.empty(); ++i) step();
       if (!broken_.empty()) return broken_ + ", at " + std::to_string(now_) + " s";
     }
-    return "";
+    // From here on nothing fails, and nobody else asks.
+    calm_ = true;
+    for (Message& m : mail_) m.lost = false;
+    for (const int end = now_ + 20 * b_.ttl; now_ < end; ++now_) {
+      lapse();
+      for (int i = 0; i < 12 * b_.relays && broken_.empty(); ++i) step();
+      if (!broken_.empty()) return broken_ + ", at " + std::to_string(now_) + " s";
+      if (std::none_of(relays_.begin(), relays_.end(), [](const Relay& r) { return r.wants; })) return "";
+    }
+    return "a relay that asks gets no slot";
   }
 
  private:
   int draw(int least, int most) { return std::uniform_int_distribution<int>(least, most)(random_); }
   bool spend(int& used, int bound, int one_in) {
-    if (used >= bound || draw(1, one_in) != 1) return false;
+    if (calm_ || used >= bound || draw(1, one_in) != 1) return false;
     ++used;
     return true;
   }
@@ -92,7 +103,7 @@
     ++r.life;
     r.timer.reset();
     r.call = 0;
-    r.watches = r.holds_read = r.wants = false;
+    r.watches = r.holds_read = r.wants = r.late = false;
     r.out_until = -1;
   }
 
@@ -187,9 +198,14 @@
     if (spend(pauses_, b_.pauses, 40)) {
       const int lengths[] = {1, b_.ttl / 2, 3 * b_.ttl};
       r.paused_until = now_ + lengths[draw(0, 2)];
+      r.late = r.late || r.out_until >= 0;
       r.out_until = -1;
       return;
     }
+    if (std::exchange(r.late, false)) {
+      r.wants = false;
+      return feed(r, Back{});
+    }
     if (r.call != 0 && now_ >= r.call_sent + b_.call) {
       r.call = 0;
       return feed(r, CallFailed{});
@@ -213,6 +229,7 @@
       r.holds_read = false;
       return feed(r, r.read);
     }
+    if (calm_) return;
     if (!r.wants && draw(1, 3) == 1) {
       r.wants = true;
       return feed(r, Ask{Purpose::upgrade});
@@ -297,6 +314,7 @@
   std::uint64_t budget_index_ = 0, store_index_ = 1;
   std::vector<Message> mail_;
   int losses_ = 0, pauses_ = 0, crashes_ = 0, restarts_ = 0;
+  bool calm_ = false;  // the end of the walk
   std::string broken_;
 };
 
--- a/tools/modelcheck/budget_model.hpp
+++ b/tools/modelcheck/budget_model.hpp
@@ -8,6 +8,7 @@
 //  which is
 //     at most `out`; one that is paused or killed while it is out is out without a plan from then on, and
 //     does not count (the catalogue does that, outside of this model).
+//  3. once nothing fails any more, each relay that asks goes out.
 #pragma once
 
 #include <cstdint>
--- a/tools/rehearse_fleet.cpp
+++ b/tools/rehearse_fleet.cpp
@@ -73,7 +73,8 @@
   LabSettings settings;
   std::uint64_t first = 1, count = 10;
   int load = 0, slower = 1;
-  bool no_fence = false, quiet = false, events = false;
+  bool no_fence = false, quiet = false, events = false, upgrades = false, stops = false;
+  std::size_t most = 0, per_zone = 0;
   app.add_option("program", settings.program, "the relay's")->required();
   app.add_option("--relays", settings.relays)->check(CLI::Range(2, 400))->capture_default_str();
   app.add_option("--seed", first, "of the first schedule")->capture_default_str();
@@ -85,6 +86,10 @@
   app.add_option("--load", load, "instead: measure the calls at Consul for so many seconds")
       ->check(CLI::Range(1, 600));
   app.add_flag("--no-fence", no_fence, "plant a bug: a store that takes any session's write");
+  app.add_flag("--upgrades", upgrades, "upgrades with a disruption budget, and faults among them");
+  app.add_flag("--outings", stops, "the same, with stops by SIGTERM too");
+  app.add_option("--most", most, "of the budget; 0: one or two, by seed");
+  app.add_option("--per-zone", per_zone, "of the budget; 0: no bound, or one, by seed");
   app.add_flag("--quiet", quiet, "only what broke, and the sum");
   app.add_flag("--events", events, "what the store saw of each schedule");
   CLI11_PARSE(app, argc, argv);
@@ -96,9 +101,19 @@
     if (load > 0) return measure_load(settings, load);
     std::vector<microseconds> spans;
     std::size_t broken = 0, stuck = 0, refused = 0, written = 0, lapses = 0, messages = 0;
+    std::size_t slots = 0, outages = 0, most_slots = 0, most_outages = 0;
+    const LabSettings plain = settings;
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
+      settings = plain;
       settings.seed = seed;
-      const std::vector<Fault> faults = draw_faults(seed, settings.faults, settings.relays, settings.timing);
+      std::vector<Fault> faults;
+      if (upgrades || stops) {
+        const auto ttl = add_budget(settings, most > 0 ? most : 1 + seed % 2,
+                                    per_zone > 0 ? per_zone : seed / 2 % 2, stops);
+        faults = draw_outings(seed, settings.faults, settings.relays, ttl, stops);
+      } else {
+        faults = draw_faults(seed, settings.faults, settings.relays, settings.timing);
+      }
       FleetLab lab(settings);
       const History history = lab.run(faults);
       const std::string what = breach(history);
@@ -109,6 +124,12 @@
         lapses += e.kind == Kind::lost ? 1 : 0;
       }
       messages += history.taken.size();
+      const MostOut out = most_out(history);
+      most_slots = std::max(most_slots, out.slots);
+      most_outages = std::max(most_outages, out.outages);
+      outages += history.outages.size();
+      for (const auto& e : history.store)
+        slots += e.kind == Kind::written && e.key.find("/budget/") != std::string::npos ? 1 : 0;
       if (events) print_faults(faults);
       if (events) print_events(history);
       for (const microseconds span : failovers(history)) spans.push_back(span);
@@ -129,6 +150,9 @@
         "lapse to the next owner's first write: p50 %.0f ms, p99 %.0f ms, most %.0f ms (%zu)\n",
         static_cast<unsigned long long>(count), broken, stuck, lapses, written, refused, messages,
         ms_at(spans, 0.5), ms_at(spans, 0.99), ms_at(spans, 1), spans.size());
+    if (upgrades || stops)
+      std::printf("%zu slots taken, at most %zu at once; %zu stops, at most %zu out at once\n", slots,
+                  most_slots, outages, most_outages);
     return broken + stuck > 0 ? 1 : 0;
   } catch (const std::exception& e) {
     std::fprintf(stderr, "%s\n", e.what());
--- a/tools/standin/consul_store.cpp
+++ b/tools/standin/consul_store.cpp
@@ -473,7 +473,7 @@
     return result();
   }
   if (verb == "cas") {
-    if (modify != wanted) return "failed to set key \"" + key + "\", index is stale";
+    if (rules_.cas && modify != wanted) return "failed to set key \"" + key + "\", index is stale";
     write(key, value);
     return result();
   }
--- a/tools/standin/consul_store.hpp
+++ b/tools/standin/consul_store.hpp
@@ -49,6 +49,7 @@
   Milliseconds most_lock_delay = std::chrono::seconds(60);
   double ttl_slack = 2;  // a session ends so many times its TTL after its newest renew: 1 to 2
   bool fence = true;     // false: a planted bug, check-session holds for everybody
+  bool cas = true;       // false: another, a check-and-set in a transaction takes any value
 };
 
 struct StoreRequest {
--- a/tools/standin/relay_process.cpp
+++ b/tools/standin/relay_process.cpp
@@ -81,6 +81,7 @@
 }
 
 int RelayProcess::end(int signal) {
+  if (pid_ <= 0) return 0;
   ::kill(pid_, signal);
   int status = 0;
   ::waitpid(std::exchange(pid_, 0), &status, 0);
@@ -92,6 +93,26 @@
 }
 bool RelayProcess::runs() const { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
 
+// Looks without taking its end away from who waits for it.
+bool RelayProcess::gone() const {
+  siginfo_t info{};
+  return pid_ <= 0 || (::waitid(P_PID, static_cast<id_t>(pid_), &info, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+                       info.si_pid == pid_);
+}
+
+bool RelayProcess::ended() {
+  if (!gone()) return false;
+  if (pid_ > 0) ::waitpid(std::exchange(pid_, 0), nullptr, 0);
+  return true;
+}
+
+pid_t RelayProcess::serving() const {
+  std::ifstream in(state_folder() + "/serving");
+  std::string word;
+  pid_t pid = 0;
+  return in >> word >> pid && word == "pid" && pid > 0 ? pid : pid_;
+}
+
 std::string RelayProcess::log() const {
   std::ifstream in(folder_ + "/log");
   return {std::istreambuf_iterator<char>(in), {}};
@@ -107,7 +128,7 @@
 std::uint64_t RelayProcess::counter(const std::string& name) const {
   const std::size_t before = logged("counters clients");
   signal(SIGUSR1);
-  if (pid_ > 0) happens([&] { return logged("counters clients") > before; });
+  if (pid_ > 0) happens([&] { return logged("counters clients") > before || gone(); });
   const std::string all = log();
   const std::size_t at = all.find(" " + name + "=", all.rfind("counters clients"));
   return at == std::string::npos ? 0 : std::stoull(all.substr(at + name.size() + 2));
--- a/tools/standin/relay_process.hpp
+++ b/tools/standin/relay_process.hpp
@@ -38,7 +38,12 @@
   int end(int signal);
   void signal(int number) const;
   bool runs() const;
+  // Whether it has ended by itself since; `ended`: and may be started again.
+  bool gone() const;
+  bool ended();
   pid_t pid() const { return pid_; }
+  // The one that serves, where upgrades are on and the first process only watches.
+  pid_t serving() const;
 
   std::string folder() const { return folder_; }
   std::string state_folder() const { return folder_ + "/state"; }
