--- a/src/consul/owners.cpp
+++ b/src/consul/owners.cpp
@@ -1,9 +1,8 @@
 #include "owners.hpp"
 
-#include <asio/co_spawn.hpp>
 #include <iomanip>
 
-#include "agent_call.hpp"
+#include "agent_question.hpp"
 
 namespace fennellane {
 namespace {
@@ -50,21 +49,9 @@
 
 bool print_owners(const ConsulSettings& consul, const FleetSettings& settings, const Limits& limits,
                   std::ostream& out, std::string& trouble) {
-  asio::io_context io(1);
-  AgentCall call(io, consul, limits, limits.fleet_answer);
-  asio::co_spawn(
-      io,
-      [&]() -> asio::awaitable<void> {
-        co_await ask(call, settings, out, trouble);
-        call.close();
-      },
-      rethrow);
-  try {
-    io.run();
-  } catch (const Json::Exception& e) {
-    trouble = std::string("an answer of another shape: ") + e.what();
-  }
-  return trouble.empty();
+  return with_agent(consul, limits, 0, trouble, [&](AgentCall& call) -> asio::awaitable<void> {
+    co_await ask(call, settings, out, trouble);
+  });
 }
 
 }  // namespace fennellane
--- a/src/consul/release_command.cpp
+++ b/src/consul/release_command.cpp
@@ -1,10 +1,10 @@
 #include "release_command.hpp"
 
-#include <asio/co_spawn.hpp>
 #include <chrono>
 #include <iomanip>
 #include <map>
 
+#include "agent_question.hpp"
 #include "consul_json.hpp"
 #include "fleet_values.hpp"
 #include "names.hpp"
@@ -14,26 +14,6 @@
 
 using What = ReleaseOrder::What;
 
-// Runs one question to its end; `ask` is a coroutine over the call.
-template <class Ask>
-bool with_agent(const ConsulSettings& consul, const Limits& limits, std::string& trouble, Ask ask) {
-  asio::io_context io(1);
-  AgentCall call(io, consul, limits, limits.fleet_answer, limits.fleet_value * 2);
-  asio::co_spawn(
-      io,
-      [&]() -> asio::awaitable<void> {
-        co_await ask(call);
-        call.close();
-      },
-      rethrow);
-  try {
-    io.run();
-  } catch (const Json::Exception& e) {
-    trouble = std::string("an answer of another shape: ") + e.what();
-  }
-  return trouble.empty();
-}
-
 std::string not_answered(const AgentAnswer& answer) {
   return "Consul has not answered, status " + std::to_string(answer.status);
 }
@@ -146,70 +126,73 @@
 
 bool show_budget(const ConsulSettings& consul, const FleetSettings& settings, const Limits& limits,
                  const std::optional<drain::Cap>& cap, std::ostream& out, std::string& trouble) {
-  return with_agent(consul, limits, trouble, [&](AgentCall& call) -> asio::awaitable<void> {
-    const std::string below = "/v1/kv/" + budget_prefix(settings) + "?recurse&consistent";
-    constexpr int kTries = 20;  // against relays that take slots meanwhile
-    for (int i = 0; i < kTries; ++i) {
-      const AgentAnswer answer = co_await call.ask("GET", below, "", settings.timing.call);
-      drain::BudgetSeen seen;
-      const bool read = answer.status == 404 ||
-                        (answer.status == 200 && read_semaphore(answer.body, budget_prefix(settings), seen));
-      if (!read) {
-        trouble = not_answered(answer);
-        co_return;
-      }
-      if (!cap || (seen.budget && seen.budget->cap == *cap)) {
-        print_budget(seen, out);
-        co_return;
-      }
-      drain::Budget next = seen.budget.value_or(drain::Budget{});
-      next.cap = *cap;
-      const AgentAnswer set =
-          co_await call.ask("PUT", "/v1/kv/" + budget_key(settings) + "?cas=" + std::to_string(seen.index),
-                            budget_json(next), settings.timing.call);
-      if (set.status != 200) {
-        trouble = not_answered(set);
-        co_return;
-      }
-    }
-    trouble = "the budget has changed each time that it was to be set";
-  });
+  return with_agent(
+      consul, limits, limits.fleet_value * 2, trouble, [&](AgentCall& call) -> asio::awaitable<void> {
+        const std::string below = "/v1/kv/" + budget_prefix(settings) + "?recurse&consistent";
+        constexpr int kTries = 20;  // against relays that take slots meanwhile
+        for (int i = 0; i < kTries; ++i) {
+          const AgentAnswer answer = co_await call.ask("GET", below, "", settings.timing.call);
+          drain::BudgetSeen seen;
+          const bool read =
+              answer.status == 404 ||
+              (answer.status == 200 && read_semaphore(answer.body, budget_prefix(settings), seen));
+          if (!read) {
+            trouble = not_answered(answer);
+            co_return;
+          }
+          if (!cap || (seen.budget && seen.budget->cap == *cap)) {
+            print_budget(seen, out);
+            co_return;
+          }
+          drain::Budget next = seen.budget.value_or(drain::Budget{});
+          next.cap = *cap;
+          const AgentAnswer set = co_await call.ask(
+              "PUT", "/v1/kv/" + budget_key(settings) + "?cas=" + std::to_string(seen.index),
+              budget_json(next), settings.timing.call);
+          if (set.status != 200) {
+            trouble = not_answered(set);
+            co_return;
+          }
+        }
+        trouble = "the budget has changed each time that it was to be set";
+      });
 }
 
 bool order_release(const ConsulSettings& consul, const FleetSettings& settings, const Limits& limits,
                    const ReleaseOrder& order, std::ostream& out, std::string& trouble) {
-  return with_agent(consul, limits, trouble, [&](AgentCall& call) -> asio::awaitable<void> {
-    StateRead before = co_await read(call, settings);
-    trouble = before.trouble;
-    if (!trouble.empty()) co_return;
-    if (order.what != What::status) {
-      const auto since_epoch = std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch());
-      const std::string id = order.to + "-" + std::to_string(since_epoch.count());
-      const release::State next = ordered(before.state, order, id, trouble);
-      if (!trouble.empty()) co_return;
-      const AgentAnswer set =
-          co_await call.ask("PUT", "/v1/kv/" + release_key(settings) + "?cas=" + std::to_string(before.index),
-                            state_json(next), settings.timing.call);
-      if (set.status != 200) {
-        trouble = not_answered(set);
-      } else if (!set.body.starts_with("true")) {
-        trouble = "the release has changed meanwhile: see its status and ask again";
-      }
-      if (!trouble.empty()) co_return;
-      before.state = next;
-    }
-    if (!before.state) {
-      out << "there has been no release\n";
-      co_return;
-    }
-    const AgentAnswer answer = co_await call.ask(
-        "GET", "/v1/kv/" + reports_prefix(settings) + "?recurse&consistent", "", settings.timing.call);
-    std::vector<release::Report> reports;
-    if (answer.status == 200) read_reports(answer.body, reports);
-    std::erase_if(reports, [&](const release::Report& r) { return r.release != before.state->id; });
-    print_state(*before.state, reports, out);
-  });
+  return with_agent(
+      consul, limits, limits.fleet_value * 2, trouble, [&](AgentCall& call) -> asio::awaitable<void> {
+        StateRead before = co_await read(call, settings);
+        trouble = before.trouble;
+        if (!trouble.empty()) co_return;
+        if (order.what != What::status) {
+          const auto since_epoch = std::chrono::duration_cast<std::chrono::milliseconds>(
+              std::chrono::system_clock::now().time_since_epoch());
+          const std::string id = order.to + "-" + std::to_string(since_epoch.count());
+          const release::State next = ordered(before.state, order, id, trouble);
+          if (!trouble.empty()) co_return;
+          const AgentAnswer set = co_await call.ask(
+              "PUT", "/v1/kv/" + release_key(settings) + "?cas=" + std::to_string(before.index),
+              state_json(next), settings.timing.call);
+          if (set.status != 200) {
+            trouble = not_answered(set);
+          } else if (!set.body.starts_with("true")) {
+            trouble = "the release has changed meanwhile: see its status and ask again";
+          }
+          if (!trouble.empty()) co_return;
+          before.state = next;
+        }
+        if (!before.state) {
+          out << "there has been no release\n";
+          co_return;
+        }
+        const AgentAnswer answer = co_await call.ask(
+            "GET", "/v1/kv/" + reports_prefix(settings) + "?recurse&consistent", "", settings.timing.call);
+        std::vector<release::Report> reports;
+        if (answer.status == 200) read_reports(answer.body, reports);
+        std::erase_if(reports, [&](const release::Report& r) { return r.release != before.state->id; });
+        print_state(*before.state, reports, out);
+      });
 }
 
 }  // namespace fennellane
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -56,6 +56,17 @@
   usual.sweep.service = "fennellane";
   EXPECT_EQ(*fleet.fleet, usual);
 
+  const Config drained = apply_settings(shipped("drain.sexp"), "drain.sexp", platform);
+  ASSERT_TRUE(drained.fleet && drained.fleet->drain && drained.fleet->release);
+  drain::SlotSettings slot;  // what the file says more than the usual
+  slot.relay = platform.name;
+  slot.zone = "a";
+  slot.cap = {3, 1, 10};
+  slot.census = true;
+  EXPECT_EQ(drained.fleet->drain->slot, slot);
+  EXPECT_EQ(drained.fleet->release->folder, "/opt/fennellane");
+  EXPECT_EQ(drained.fleet->release->coordinator, release::CoordinatorSettings{});
+
   EXPECT_FALSE(platform.upgrade);
   const Config upgraded = apply_settings(shipped("upgrade.sexp"), "upgrade.sexp", platform);
   EXPECT_EQ(upgraded.upgrade, UpgradeSettings());
@@ -108,6 +119,17 @@
        "s:5: fleet: its times cannot be kept: ttl"},
       {kLeast + kHost + kAgent + "(fleet (roles \"sweep\") (renew-ms 12000))",
        "its times cannot be kept: renew_every + call"},
+      {kLeast + kHost + kAgent + "(fleet)", "fleet: names neither roles nor drain"},
+      {kLeast + kHost + kAgent + "(fleet (drain (most 0)))", "fleet.drain.most: nothing bounds"},
+      {kLeast + kHost + kAgent + "(fleet (drain (per-zone 1)))", "fleet.drain.zone: is needed"},
+      {kLeast + kHost + kAgent + "(fleet (drain (percent 10)))", "fleet.drain.service: is needed"},
+      {kLeast + kHost + kAgent + "(fleet (drain (out-ms 53000)))", "its times cannot be kept: out + call"},
+      {kLeast + kHost + kAgent + "(fleet (release (folder \"/opt/x\")))",
+       "fleet.release: needs a section drain"},
+      {kLeast + kHost + kAgent + "(fleet (drain) (release (folder \"/opt/x\")))",
+       "fleet.release: needs a section upgrade"},
+      {kLeast + kHost + kAgent + "(fleet (roles \"drain\") (drain))",
+       "fleet.roles: drain needs a section release"},
       {kLeast + "(consul (address \"127.0.0.1:8500\")\n(service (name \"a\"))\n(service (name \"a b\")))",
        "s:5: consul.service[1].name: "},
       {kLeast + kHost +
--- a/tools/harness/fleet_lab.cpp
+++ b/tools/harness/fleet_lab.cpp
@@ -1,6 +1,7 @@
 #include "fleet_lab.hpp"
 
 #include <signal.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <sstream>
@@ -30,6 +31,13 @@
   return rules;
 }
 
+// Of this process alone: seen with eight labs at once, a message was offered to the port of a relay that was
+// down, and another lab's relay, which had got that port, took it on.
+std::string own_host() {
+  const int pid = ::getpid();
+  return "127." + std::to_string(16 + pid / 256 % 200) + "." + std::to_string(pid % 256) + ".1";
+}
+
 }  // namespace
 
 milliseconds add_budget(LabSettings& settings, std::size_t most, std::size_t per_zone, bool stops) {
@@ -133,7 +141,7 @@
     const std::string own = "127.0.0." + std::to_string(10 + i % 200);
     member->to_consul = std::make_unique<FaultProxy>(loop_, own, own, consul_.address());
     member->to_partner = std::make_unique<FaultProxy>(loop_, own, own, partner_.address());
-    member->process = std::make_unique<standin::RelayProcess>(settings_.program);
+    member->process = std::make_unique<standin::RelayProcess>(settings_.program, own_host());
     members_.push_back(std::move(member));
     members_.back()->process->replace_settings(settings_text(i));
   }
@@ -390,7 +398,11 @@
   for (std::size_t i = 0; i < members_.size(); ++i) {
     const std::string name = "r" + std::to_string(i);
     const Member& m = *members_[i];
-    if (m.up && !m.leaves && m.process->pid() > 0 && m.process->gone()) h.ended = name;
+    if (m.up && !m.leaves && m.process->pid() > 0 && m.process->gone()) {
+      const std::string said = m.process->log();
+      h.ended = name + ", whose log ends with:\n" +
+                said.substr(said.size() - std::min<std::size_t>(said.size(), 2000));
+    }
     h.held += m.process->counter("journal.held");
     std::istringstream log(members_[i]->process->log());
     for (std::string line; std::getline(log, line);) {
--- a/tools/harness/history.cpp
+++ b/tools/harness/history.cpp
@@ -162,7 +162,7 @@
 
 std::string breach(const History& history) {
   std::string found =
-      history.ended.empty() ? breach_of_locks(history) : history.ended + " has ended by itself";
+      history.ended.empty() ? breach_of_locks(history) : "a relay has ended by itself: " + history.ended;
   if (found.empty() && history.state_kept) found = breach_of_claims(history);
   if (found.empty() && history.state_kept) found = breach_of_slots(history);
   if (found.empty() && history.state_kept) found = breach_of_outages(history);
--- a/tools/standin/relay_process.cpp
+++ b/tools/standin/relay_process.cpp
@@ -32,13 +32,14 @@
   return true;
 }
 
-RelayProcess::RelayProcess(std::string program) : program_(std::move(program)) {
+RelayProcess::RelayProcess(std::string program, std::string host)
+    : program_(std::move(program)), host_(std::move(host)) {
   std::string name = (fs::temp_directory_path() / "relay-XXXXXX").string();
   if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder for the relay");
   folder_ = name;
   fs::create_directory(state_folder());
   asio::io_context io;
-  tcp::acceptor free(io, {asio::ip::make_address("127.0.0.1"), 0});
+  tcp::acceptor free(io, {asio::ip::make_address(host_), 0});
   port_ = free.local_endpoint().port();
 }
 
@@ -137,7 +138,7 @@
 tcp::socket RelayProcess::connected(asio::io_context& io) const {
   tcp::socket socket(io);
   asio::error_code error;
-  socket.connect({asio::ip::make_address("127.0.0.1"), port_}, error);
+  socket.connect({asio::ip::make_address(host_), port_}, error);
   return socket;
 }
 
@@ -145,7 +146,7 @@
   asio::io_context io;
   tcp::socket socket(io);
   asio::error_code error;
-  socket.connect({asio::ip::make_address("127.0.0.1"), port_}, error);
+  socket.connect({asio::ip::make_address(host_), port_}, error);
   if (!error) asio::write(socket, asio::buffer(text), error);
   if (end_sending) socket.shutdown(tcp::socket::shutdown_send, error);
   HttpReader reader(HttpReader::Kind::response, 65536, 65536);
--- a/tools/standin/relay_process.hpp
+++ b/tools/standin/relay_process.hpp
@@ -19,7 +19,9 @@
 
 class RelayProcess {
  public:
-  explicit RelayProcess(std::string program);
+  // Listens at a free port of `host`, the same in each of its lives. While it is down any process may get
+  // that port, so where several run tests at once each has an address of 127.0.0.0/8 for itself.
+  explicit RelayProcess(std::string program, std::string host = "127.0.0.1");
   ~RelayProcess();
   RelayProcess(const RelayProcess&) = delete;
   RelayProcess& operator=(const RelayProcess&) = delete;
@@ -47,7 +49,7 @@
 
   std::string folder() const { return folder_; }
   std::string state_folder() const { return folder_ + "/state"; }
-  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  std::string address() const { return host_ + ":" + std::to_string(port_); }
   std::uint16_t port() const { return port_; }
 
   std::string log() const;
@@ -61,7 +63,7 @@
  private:
   void replace(const std::string& name, const std::string& text) const;
 
-  const std::string program_;
+  const std::string program_, host_;
   std::vector<std::string> variables_;
   std::string folder_;
   std::uint16_t port_ = 0;
