Tests of drains ask the lab for an outing, so a stop that ends is not taken for a death

The log of the failed run shows r2 stopping on its own SIGTERM. Change: the tests use ask_outing, which notes the relay as leaving. RelayProcess::runs no longer reaps the process that end() waits for.

--- a/tests/drains_lab_test.cpp
+++ b/tests/drains_lab_test.cpp
@@ -115,11 +115,11 @@
   settings.timing.call = 1000;
   FleetLab lab(settings);
   lab.start();
-  lab.relay(0).signal(SIGTERM);
+  lab.ask_outing(0);
   ASSERT_TRUE(happens([&] { return gone_out(lab) == 1; }));
   const auto killed = std::chrono::steady_clock::now();
   lab.relay(0).end(SIGKILL);
-  lab.relay(1).signal(SIGTERM);
+  lab.ask_outing(1);
   ASSERT_TRUE(happens([&] { return gone_out(lab) == 2; })) << lab.relay(1).log();
   EXPECT_GT(std::chrono::steady_clock::now() - killed, milliseconds(1500));
   EXPECT_EQ(breach(lab.history()), "");
@@ -149,7 +149,7 @@
     lab.start();
     // What each has read is old by the time that it asks.
     for (std::size_t i = 0; i < 5; ++i) lab.to_consul(i).set(PathFault::delay, milliseconds(150));
-    for (std::size_t i = 0; i < 5; ++i) lab.relay(i).signal(SIGTERM);
+    for (std::size_t i = 0; i < 5; ++i) lab.ask_outing(i);
     happens([&] { return gone_out(lab) == 5; }, seconds(5));
     found = breach(lab.history());
   }
--- a/tools/standin/relay_process.cpp
+++ b/tools/standin/relay_process.cpp
@@ -92,8 +92,6 @@
 void RelayProcess::signal(int number) const {
   if (pid_ > 0) ::kill(pid_, number);
 }
-bool RelayProcess::runs() const { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
-
 // Looks without taking its end away from who waits for it.
 bool RelayProcess::gone() const {
   siginfo_t info{};
--- a/tools/standin/relay_process.hpp
+++ b/tools/standin/relay_process.hpp
@@ -39,7 +39,7 @@
   // Its exit code, or the signal that ended it, as a negative number.
   int end(int signal);
   void signal(int number) const;
-  bool runs() const;
+  bool runs() const { return !gone(); }
   // Whether it has ended by itself since; `ended`: and may be started again.
   bool gone() const;
   bool ended();
