Read over: one piece for sessions' calls, reads of keys, outcomes of writes, relays ordered

Need: twins among the drain, fleet and release agents and in the coordinator. Change: create_session, renew_session, destroy_session and read_entry serve all agents; lease::Written is the one outcome of a write; ordered_relays the one list of those a release has reached; the stand-in's erase_below and the lab's Draw stand once. Behaviour as before.

--- a/src/consul/consul_json.cpp
+++ b/src/consul/consul_json.cpp
@@ -4,6 +4,7 @@
 #include <cctype>
 #include <cereal/external/base64.hpp>
 #include <exception>
+#include <utility>
 
 namespace fennellane {
 
@@ -39,10 +40,10 @@
   return operation;
 }
 
-fleet::Written written(const AgentAnswer& answer) {
-  return answer.status == 200   ? fleet::Written::taken
-         : answer.status == 409 ? fleet::Written::refused
-                                : fleet::Written::failed;
+lease::Written written(const AgentAnswer& answer) {
+  return answer.status == 200   ? lease::Written::taken
+         : answer.status == 409 ? lease::Written::refused
+                                : lease::Written::failed;
 }
 
 namespace {
@@ -82,4 +83,29 @@
   }
 }
 
+bool read_entry(const std::string& body, std::string& value, std::uint64_t& index) {
+  return with_json(body, [&](const Json::Value& v) {
+    if (!v.isArray() || v.size() != 1) return false;
+    value = value_of(v[0]);
+    index = v[0]["ModifyIndex"].asUInt64();
+    return true;
+  });
+}
+
+asio::awaitable<std::string> create_session(AgentCall& call, std::string body, Time limit) {
+  const AgentAnswer answer = co_await call.ask("PUT", "/v1/session/create", std::move(body), limit);
+  co_return answer.status == 200 ? session_id(answer.body) : "";
+}
+
+asio::awaitable<std::optional<bool>> renew_session(AgentCall& call, std::string session, Time limit) {
+  const AgentAnswer answer = co_await call.ask("PUT", "/v1/session/renew/" + session, "", limit);
+  if (answer.status != 200 && answer.status != 404) co_return std::nullopt;
+  co_return answer.status == 200;
+}
+
+asio::awaitable<bool> destroy_session(AgentCall& call, std::string session, Time limit) {
+  const AgentAnswer answer = co_await call.ask("PUT", "/v1/session/destroy/" + session, "", limit);
+  co_return answer.status == 200;
+}
+
 }  // namespace fennellane
--- a/src/consul/consul_json.hpp
+++ b/src/consul/consul_json.hpp
@@ -3,6 +3,8 @@
 
 #include <json/json.h>
 
+#include <asio/awaitable.hpp>
+#include <optional>
 #include <string>
 
 #include "agent_call.hpp"
@@ -31,8 +33,16 @@
 Json::Value set_key_as_read(const std::string& key, std::uint64_t index, const std::string& value);
 Json::Value delete_below(const std::string& prefix);
 // What has become of a transaction.
-fleet::Written written(const AgentAnswer& answer);
+lease::Written written(const AgentAnswer& answer);
 // The value of a key as Consul gives it, in base64; empty where it has none or is none.
 std::string value_of(const Json::Value& entry);
+// Of the answer to GET /v1/kv/KEY: the value and its ModifyIndex; false where it can't be read.
+bool read_entry(const std::string& body, std::string& value, std::uint64_t& index);
+
+// Calls on sessions, each bounded by `limit`. A session's id; empty: none was made.
+asio::awaitable<std::string> create_session(AgentCall& call, std::string body, Time limit);
+// Whether it lives; nothing where Consul has not said.
+asio::awaitable<std::optional<bool>> renew_session(AgentCall& call, std::string session, Time limit);
+asio::awaitable<bool> destroy_session(AgentCall& call, std::string session, Time limit);
 
 }  // namespace fennellane
--- a/src/consul/drain_agent.cpp
+++ b/src/consul/drain_agent.cpp
@@ -27,8 +27,7 @@
     // Its contender key goes with it, so that nothing is left of those that came and went. It needs no
     // lock-delay: nobody else ever wants that key.
     const std::string body = session_json(slot.relay + " slot", "delete", e.ttl, Time(0));
-    const AgentAnswer made = co_await calls_.ask("PUT", "/v1/session/create", body, slot.call);
-    const std::string id = made.status == 200 ? session_id(made.body) : "";
+    const std::string id = co_await create_session(calls_, body, slot.call);
     if (id.empty()) {
       hear(drain::CallFailed{});
       co_return;
@@ -38,7 +37,7 @@
     if (contends.status == 200 && contends.body.starts_with("true")) {
       hear(drain::SessionMade{id, sent});
     } else {
-      co_await calls_.ask("PUT", "/v1/session/destroy/" + id, "", slot.call);
+      co_await destroy_session(calls_, id, slot.call);
       hear(drain::CallFailed{});
     }
   });
@@ -47,10 +46,9 @@
 void DrainAgent::on(const drain::Renew& e) {
   spawn([this, session = e.session]() -> asio::awaitable<void> {
     const Time sent = steady_now();
-    const AgentAnswer answer =
-        co_await calls_.ask("PUT", "/v1/session/renew/" + session, "", settings_.drain->slot.call);
-    if (answer.status == 200 || answer.status == 404) {
-      hear(drain::RenewAnswer{answer.status == 200, sent});
+    const std::optional<bool> alive = co_await renew_session(calls_, session, settings_.drain->slot.call);
+    if (alive) {
+      hear(drain::RenewAnswer{*alive, sent});
     } else {
       hear(drain::CallFailed{});
     }
@@ -90,20 +88,19 @@
     operations.append(set_key_as_read(budget_key(settings_), e.index, budget_json(e.next)));
     const AgentAnswer answer =
         co_await calls_.ask("PUT", "/v1/txn", json_text(operations), settings_.drain->slot.call);
-    const fleet::Written how = written(answer);
-    if (how == fleet::Written::failed) {
+    const lease::Written how = written(answer);
+    if (how == lease::Written::failed) {
       hear(drain::CallFailed{});
     } else {
-      hear(drain::SlotAnswer{how == fleet::Written::taken});
+      hear(drain::SlotAnswer{how == lease::Written::taken});
     }
   });
 }
 
 void DrainAgent::on(const drain::EndSession& e) {
   spawn([this, session = e.session]() -> asio::awaitable<void> {
-    const AgentAnswer answer =
-        co_await calls_.ask("PUT", "/v1/session/destroy/" + session, "", settings_.drain->slot.call);
-    if (answer.status == 200) {
+    const bool ended = co_await destroy_session(calls_, session, settings_.drain->slot.call);
+    if (ended) {
       hear(drain::Done{});
     } else {
       hear(drain::CallFailed{});
--- a/src/consul/fleet_agent.cpp
+++ b/src/consul/fleet_agent.cpp
@@ -142,10 +142,8 @@
   spawn([this, role, e]() -> asio::awaitable<void> {
     Role& r = *roles_[role];
     const Time sent = steady_now();
-    const AgentAnswer answer = co_await r.calls.ask(
-        "PUT", "/v1/session/create", session_json(relay_ + " " + r.name, "release", e.ttl, e.lock_delay),
-        settings_.timing.call);
-    const std::string id = answer.status == 200 ? session_id(answer.body) : "";
+    const std::string body = session_json(relay_ + " " + r.name, "release", e.ttl, e.lock_delay);
+    const std::string id = co_await create_session(r.calls, body, settings_.timing.call);
     if (id.empty()) {
       hear(role, lease::CallFailed{});
     } else {
@@ -173,10 +171,10 @@
   ++counters_.lease_calls;
   spawn([this, role, session = e.session]() -> asio::awaitable<void> {
     const Time sent = steady_now();
-    const AgentAnswer answer =
-        co_await roles_[role]->calls.ask("PUT", "/v1/session/renew/" + session, "", settings_.timing.call);
-    if (answer.status == 200 || answer.status == 404) {
-      hear(role, lease::RenewAnswer{answer.status == 200, sent});
+    const std::optional<bool> alive =
+        co_await renew_session(roles_[role]->calls, session, settings_.timing.call);
+    if (alive) {
+      hear(role, lease::RenewAnswer{*alive, sent});
     } else {
       hear(role, lease::CallFailed{});
     }
@@ -191,7 +189,7 @@
     // The value it leaves says that this was no lapse.
     if (e.holds)
       co_await r.calls.ask("PUT", "/v1/kv/" + r.key + "?release=" + e.session, "", settings_.timing.call);
-    co_await r.calls.ask("PUT", "/v1/session/destroy/" + e.session, "", settings_.timing.call);
+    co_await destroy_session(r.calls, e.session, settings_.timing.call);
     hear(role, lease::Done{});
   });
 }
@@ -253,7 +251,7 @@
 
 void FleetAgent::carry(const fleet::Publish& e) {
   spawn([this, e]() -> asio::awaitable<void> {
-    fleet::Published published{e.head.token, fleet::Written::failed};
+    fleet::Published published{e.head.token, lease::Written::failed};
     if (e.text && e.text->size() > limits_.fleet_list) {
       log_("refresh", "the list is too long to be shared: " + std::to_string(e.text->size()) + " bytes");
     } else {
--- a/src/consul/release_agent.cpp
+++ b/src/consul/release_agent.cpp
@@ -36,13 +36,7 @@
     release::StateSeen seen;
     if (answer.status == 200) {
       std::string text;
-      const bool good = with_json(answer.body, [&](const Json::Value& v) {
-        if (!v.isArray() || v.size() != 1) return false;
-        text = value_of(v[0]);
-        seen.index = v[0]["ModifyIndex"].asUInt64();
-        return true;
-      });
-      if (!good) return false;
+      if (!read_entry(answer.body, text, seen.index)) return false;
       seen.state = read_state(text);
       if (!seen.state && unreadable_ != text)
         log_("release", "the state in the store can't be read: no release");
@@ -91,12 +85,7 @@
   spawn([this, e]() -> asio::awaitable<void> {
     const AgentAnswer answer =
         co_await steps_.ask("PUT", "/v1/txn", step_json(settings_, e), settings_.timing.call);
-    using How = release::StateWritten::How;
-    const fleet::Written how = written(answer);
-    tell_later(
-        fleet::CoordinatorHeard{release::StateWritten{how == fleet::Written::taken     ? How::taken
-                                                      : how == fleet::Written::refused ? How::refused
-                                                                                       : How::failed}});
+    tell_later(fleet::CoordinatorHeard{release::StateWritten{written(answer)}});
   });
 }
 
--- a/src/consul/release_command.cpp
+++ b/src/consul/release_command.cpp
@@ -69,11 +69,8 @@
     read.trouble = not_answered(answer);
     co_return read;
   }
-  with_json(answer.body, [&read](const Json::Value& v) {
-    read.index = v[0]["ModifyIndex"].asUInt64();
-    read.state = read_state(value_of(v[0]));
-    return true;
-  });
+  std::string text;
+  if (read_entry(answer.body, text, read.index)) read.state = read_state(text);
   if (!read.state) read.trouble = "the state in the store can't be read";
   co_return read;
 }
--- a/src/fleet/refresh.hpp
+++ b/src/fleet/refresh.hpp
@@ -64,7 +64,7 @@
 };
 struct Published {  // the answer to Publish
   Token token = 0;
-  using How = Written;
+  using How = lease::Written;
   How how{};
 };
 struct RefreshDue {};
--- a/src/fleet/roles.hpp
+++ b/src/fleet/roles.hpp
@@ -48,7 +48,7 @@
 };
 struct RegistrationsRemoved {  // the answer to RemoveRegistrations
   Token token = 0;
-  using How = Written;
+  using How = lease::Written;
   How how{};
 };
 struct WorkDue {};  // the timer that SetWorkTimer asked for
--- a/src/fleet/written.hpp
+++ b/src/lease/written.hpp
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 
-namespace fennellane::fleet {
+namespace fennellane::lease {
 
 enum class Written : std::uint8_t {
   taken,
@@ -11,4 +11,4 @@
   failed    // nobody knows
 };
 
-}  // namespace fennellane::fleet
+}  // namespace fennellane::lease
--- a/src/release/coordinator.cpp
+++ b/src/release/coordinator.cpp
@@ -116,14 +116,12 @@
 
 void Coordinator::roll(Time now, Effects& out) {
   bool all = true;
-  for (std::uint32_t i = 0; i <= state_->wave && i < state_->waves.size(); ++i) {
-    for (const std::string& relay : state_->waves[i]) {
-      if (moved(relay)) continue;
-      const auto it = heard_.find(relay);
-      if (it != heard_.end() && !it->second.report.trouble.empty())
-        return breach(relay + " could not move: " + it->second.report.trouble, true, out);
-      all = false;
-    }
+  for (const std::string& relay : ordered_relays(*state_)) {
+    if (moved(relay)) continue;
+    const auto it = heard_.find(relay);
+    if (it != heard_.end() && !it->second.report.trouble.empty())
+      return breach(relay + " could not move: " + it->second.report.trouble, true, out);
+    all = false;
   }
   if (!all) {
     watched_since_.reset();
@@ -198,12 +196,9 @@
     if (r.build == state_->to) return;
   // Guards against taking a fleet that has not reported for one that is back; who is lost is waited for so
   // long.
-  const bool waits = now - phase_since_ < settings_.move;
-  for (const auto& wave : state_->waves)
-    for (const std::string& relay : wave)
-      if (waits && &wave - state_->waves.data() <= static_cast<std::ptrdiff_t>(state_->wave) &&
-          heard_.count(relay) == 0)
-        return;
+  if (now - phase_since_ < settings_.move)
+    for (const std::string& relay : ordered_relays(*state_))
+      if (heard_.count(relay) == 0) return;
   State next = *state_;
   next.phase = Phase::returned;
   write(std::move(next), "all are back at " + state_->from, out);
--- a/src/release/coordinator.hpp
+++ b/src/release/coordinator.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "mover.hpp"
+#include "written.hpp"
 
 namespace fennellane::release {
 
@@ -35,7 +36,8 @@
   std::vector<Report> reports;
 };
 struct StateWritten {
-  enum class How : std::uint8_t { taken, refused, failed } how{};
+  using How = lease::Written;
+  How how{};
 };
 struct LookDue {};
 using CoordinatorInput = std::variant<StateSeen, ReportsRead, StateWritten, LookDue>;
--- a/src/release/state.cpp
+++ b/src/release/state.cpp
@@ -58,13 +58,20 @@
           growth(b.bad, now.bad), growth(b.late, now.late)};
 }
 
+std::vector<std::string> ordered_relays(const State& state) {
+  std::vector<std::string> all;
+  for (std::size_t i = 0; i < state.waves.size() && i <= state.wave; ++i)
+    all.insert(all.end(), state.waves[i].begin(), state.waves[i].end());
+  return all;
+}
+
 std::optional<std::string> wanted_build(const State& state, const std::string& relay) {
   if (state.phase == Phase::back) return state.from;
   if (state.phase == Phase::done) return state.to;
   if (state.phase != Phase::rolling) return std::nullopt;
-  for (std::size_t i = 0; i < state.waves.size() && i <= state.wave; ++i)
-    if (std::count(state.waves[i].begin(), state.waves[i].end(), relay) > 0) return state.to;
-  return std::nullopt;
+  const std::vector<std::string> ordered = ordered_relays(state);
+  if (std::count(ordered.begin(), ordered.end(), relay) == 0) return std::nullopt;
+  return state.to;
 }
 
 std::optional<std::size_t> reach_of(const std::string& step, std::size_t relays) {
--- a/src/release/state.hpp
+++ b/src/release/state.hpp
@@ -52,6 +52,8 @@
   bool operator==(const State&) const = default;
 };
 
+// The relays of the waves up to the one under way.
+std::vector<std::string> ordered_relays(const State& state);
 // Which build this order wants of that relay; none: it stays as it is.
 std::optional<std::string> wanted_build(const State& state, const std::string& relay);
 // How many relays a step reaches, of so many; nothing where it is none. Shares round up.
--- a/tools/harness/fleet_lab.cpp
+++ b/tools/harness/fleet_lab.cpp
@@ -38,6 +38,15 @@
   return "127." + std::to_string(16 + pid / 256 % 200) + "." + std::to_string(pid % 256) + ".1";
 }
 
+class Draw {
+ public:
+  explicit Draw(std::uint64_t seed) : random_(seed) {}
+  int operator()(int least, int most) { return std::uniform_int_distribution<int>(least, most)(random_); }
+
+ private:
+  std::mt19937_64 random_;
+};
+
 }  // namespace
 
 milliseconds add_budget(LabSettings& settings, std::size_t most, std::size_t per_zone, bool stops) {
@@ -69,10 +78,7 @@
 
 std::vector<Fault> draw_faults(std::uint64_t seed, std::size_t count, std::size_t relays,
                                const LabTiming& t) {
-  std::mt19937_64 random(seed);
-  const auto draw = [&random](int least, int most) {
-    return std::uniform_int_distribution<int>(least, most)(random);
-  };
+  Draw draw(seed);
   std::vector<Fault> faults;
   // From shorter than the margin to past the TTL with its slack and the lock-delay.
   const int spans[] = {t.margin / 2, t.ttl / 2, t.ttl, 2 * t.ttl + t.lock_delay + t.margin};
@@ -105,10 +111,7 @@
 
 std::vector<Fault> draw_outings(std::uint64_t seed, std::size_t count, std::size_t relays, milliseconds ttl,
                                 bool stops) {
-  std::mt19937_64 random(seed);
-  const auto draw = [&random](int least, int most) {
-    return std::uniform_int_distribution<int>(least, most)(random);
-  };
+  Draw draw(seed);
   std::vector<Fault> faults;
   int at = 300;
   for (std::size_t i = 0; i < count; ++i) {
--- a/tools/rehearse_fleet.cpp
+++ b/tools/rehearse_fleet.cpp
@@ -193,14 +193,13 @@
         refused += e.kind == Kind::refused ? 1 : 0;
         written += e.kind == Kind::written ? 1 : 0;
         lapses += e.kind == Kind::lost ? 1 : 0;
+        slots += e.kind == Kind::written && e.key.find("/budget/") != std::string::npos ? 1 : 0;
       }
       messages += history.taken.size();
       const MostOut out = most_out(history);
       most_slots = std::max(most_slots, out.slots);
       most_outages = std::max(most_outages, out.outages);
       outages += history.outages.size();
-      for (const auto& e : history.store)
-        slots += e.kind == Kind::written && e.key.find("/budget/") != std::string::npos ? 1 : 0;
       if (events) print_faults(faults);
       if (events) print_events(history);
       for (const microseconds span : failovers(history)) spans.push_back(span);
--- a/tools/standin/consul_store.cpp
+++ b/tools/standin/consul_store.cpp
@@ -340,6 +340,13 @@
   if (keys_.erase(key) > 0) keys_index_ = ++index_;
 }
 
+void ConsulStore::erase_below(const std::string& prefix) {
+  std::vector<std::string> all;
+  for (auto it = keys_.lower_bound(prefix); it != keys_.end() && it->first.starts_with(prefix); ++it)
+    all.push_back(it->first);
+  for (const std::string& each : all) erase(each);
+}
+
 bool ConsulStore::acquire(SteadyTime now, const std::string& key, const std::string& session,
                           const std::string& value) {
   const auto it = keys_.find(key);
@@ -389,10 +396,7 @@
 
 StoreAnswer ConsulStore::delete_key(const std::string& key, const StoreRequest& r) {
   if (r.query.count("recurse") > 0) {
-    std::vector<std::string> all;
-    for (auto it = keys_.lower_bound(key); it != keys_.end() && it->first.starts_with(key); ++it)
-      all.push_back(it->first);
-    for (const std::string& each : all) erase(each);
+    erase_below(key);
     return {200, "true", 0};
   }
   if (const auto wanted = number_in(r.query, "cas")) {
@@ -511,10 +515,7 @@
     return "";
   }
   if (verb == "delete-tree") {
-    std::vector<std::string> all;
-    for (auto at = keys_.lower_bound(key); at != keys_.end() && at->first.starts_with(key); ++at)
-      all.push_back(at->first);
-    for (const std::string& each : all) erase(each);
+    erase_below(key);
     return "";
   }
   if (verb == "delete-cas") {
--- a/tools/standin/consul_store.hpp
+++ b/tools/standin/consul_store.hpp
@@ -141,6 +141,7 @@
   bool release(SteadyTime now, const std::string& key, const std::string& session, const std::string& value);
   void write(const std::string& key, const std::string& value);
   void erase(const std::string& key);
+  void erase_below(const std::string& prefix);
   void invalidate(SteadyTime now, std::map<std::string, Session>::iterator it);
   Json::Value entry_json(const std::string& key, const Entry& e) const;
   void note(StoreEvent::Kind kind, SteadyTime at, const std::string& key, const std::string& session,
