Drains: a cap on endpoints out, agreed by all relays, with its arbiter, lab and command

Each relay rests endpoints alone, so a fleet may rest most of a destination together. Change: src/ejection (weigh, Reporter, Arbiter: no I/O, no clock): relays report what fails, is cold or lowered; the holder of the role ejection sums it up and writes a fenced verdict: which may rest, and which destinations have no room left. A verdict binds while it is renewed; without Consul each relay is where it was. Draining hosts use the cap up. fennellane ejections shows it; the checker has rule 8, the lab hosts that do not serve. Off without a section ejection. Ruled out: asking the store before resting, since resting protects the endpoint and must not wait.

--- a/include/starlinghook/delivery.hpp
+++ b/include/starlinghook/delivery.hpp
@@ -149,8 +149,13 @@
 struct Stopping {  // the process ends at that moment; what is held goes to its next life
   Time at{};
 };
+// The forwarders together rest as many endpoints as they may: failures of these let none of them rest, and
+// only what a cold destination stands bounds their calls. Replaces the one before; empty: no such bound.
+struct RestsCapped {
+  std::vector<EndpointId> kept;
+};
 using Event = std::variant<MessageArrived, MessageDropped, AttemptEnded, ProbeEnded, ListChanged, ListFailed,
-                           TimerFired, Stopping>;
+                           TimerFired, Stopping, RestsCapped>;
 
 // --- Actions
 struct Send {
@@ -193,6 +198,15 @@
 using Action =
     std::variant<Send, Refuse, Fail, Cancel, Probe, CloseIdle, SetTimer, WatchList, FetchList, LogLine>;
 
+// What a forwarder has learnt of an endpoint that the list calls ready and that is not given its full pace:
+// it rests, is cold after an outage, or answers tell of less than half of its limit.
+enum class Ail { failing, cold, lowered };
+struct Ailing {
+  EndpointId endpoint = 0;
+  Ail ail{};
+  double bad = 0;  // recent share of failures, 0 to 1
+};
+
 class MemoryError : public std::runtime_error {
  public:
   using std::runtime_error::runtime_error;
@@ -212,6 +226,8 @@
   void handle(Time now, const Event& event, std::vector<Action>& actions);
   // How much it remembers: messages, calls, endpoints and keys.
   std::size_t records() const;
+  // As of the newest event.
+  std::vector<Ailing> ailing() const;
 
   // All that it remembers, as bytes; of no use to another version.
   std::string save() const;
--- a/src/consul/agent_question.hpp
+++ b/src/consul/agent_question.hpp
@@ -8,6 +8,10 @@
 
 namespace fennellane {
 
+inline std::string not_answered(const AgentAnswer& answer) {
+  return "Consul has not answered, status " + std::to_string(answer.status);
+}
+
 // Runs one question to its end; `ask` is a coroutine over the call. `most_text`: of a request; 0 = the usual.
 // False where something went wrong, which `trouble` says.
 template <class Ask>
--- a/src/consul/consul_json.cpp
+++ b/src/consul/consul_json.cpp
@@ -67,6 +67,14 @@
   return operation;
 }
 
+Json::Value delete_key_as_read(const std::string& key, std::uint64_t index) {
+  Json::Value operation;
+  operation["KV"]["Verb"] = "delete-cas";
+  operation["KV"]["Key"] = key;
+  operation["KV"]["Index"] = Json::UInt64(index);
+  return operation;
+}
+
 Json::Value delete_below(const std::string& prefix) {
   Json::Value operation;
   operation["KV"]["Verb"] = "delete-tree";
--- a/src/consul/consul_json.hpp
+++ b/src/consul/consul_json.hpp
@@ -31,6 +31,7 @@
 Json::Value fence(const std::string& key, const std::string& session);
 Json::Value set_key(const std::string& key, const std::string& value);
 Json::Value set_key_as_read(const std::string& key, std::uint64_t index, const std::string& value);
+Json::Value delete_key_as_read(const std::string& key, std::uint64_t index);
 Json::Value delete_below(const std::string& prefix);
 // What has become of a transaction.
 lease::Written written(const AgentAnswer& answer);
--- a/src/consul/fleet_agent.cpp
+++ b/src/consul/fleet_agent.cpp
@@ -106,12 +106,15 @@
     drain_ = std::make_shared<DrainAgent>(io, consul_, settings_, limits, counters, log, tell_);
   if (settings_.release)
     release_ = std::make_shared<ReleaseAgent>(io, consul_, settings_, limits, counters, log, tell_);
+  if (settings_.ejection)
+    ejection_ = std::make_shared<EjectionAgent>(io, consul_, settings_, limits, counters, log, tell_);
 }
 
 void FleetAgent::start() {
   for (std::uint32_t i = 0; i < roles_.size(); ++i) watch_role(i);
   if (has_role(settings_, fleet::kRefreshRole)) watch_beat();
   if (release_) release_->start();
+  if (ejection_) ejection_->start();
 }
 
 void FleetAgent::carry(const fleet::Effect& effect) {
@@ -131,6 +134,12 @@
 void FleetAgent::on(const fleet::CoordinatorDo& e) {
   if (release_) release_->carry(e.effect);
 }
+void FleetAgent::on(const fleet::ReporterDo& e) {
+  if (ejection_) ejection_->carry(e.effect);
+}
+void FleetAgent::on(const fleet::ArbiterDo& e) {
+  if (ejection_) ejection_->carry(e.effect);
+}
 
 // --- The lease
 void FleetAgent::on(const fleet::LeaseDo& e) {
--- a/src/consul/fleet_agent.hpp
+++ b/src/consul/fleet_agent.hpp
@@ -13,6 +13,7 @@
 #include "agent_call.hpp"
 #include "counters.hpp"
 #include "drain_agent.hpp"
+#include "ejection_agent.hpp"
 #include "fleet_settings.hpp"
 #include "fleet_tasks.hpp"
 #include "key_watch.hpp"
@@ -59,6 +60,8 @@
   void on(const fleet::DrainDo& e);
   void on(const fleet::MoverDo& e);
   void on(const fleet::CoordinatorDo& e);
+  void on(const fleet::ReporterDo& e);
+  void on(const fleet::ArbiterDo& e);
   void carry(std::uint32_t role, const lease::CreateSession& e);
   void carry(std::uint32_t role, const lease::Acquire& e);
   void carry(std::uint32_t role, const lease::Renew& e);
@@ -87,8 +90,9 @@
   asio::steady_timer work_due_;
   AgentCall shares_, lists_;  // writes and reads of the shared list
   asio::steady_timer refresh_due_;
-  std::shared_ptr<DrainAgent> drain_;      // null where no slot is sought
-  std::shared_ptr<ReleaseAgent> release_;  // where there are no releases
+  std::shared_ptr<DrainAgent> drain_;        // null where no slot is sought
+  std::shared_ptr<ReleaseAgent> release_;    // where there are no releases
+  std::shared_ptr<EjectionAgent> ejection_;  // where there is no cap on endpoints out
 };
 
 }  // namespace fennellane
--- a/src/consul/owners.cpp
+++ b/src/consul/owners.cpp
@@ -26,7 +26,7 @@
   }
   const Json::Value list = json_of(keys.body).value_or(Json::Value());
   if (keys.status != 200 || !list.isArray()) {
-    trouble = "Consul has not answered, status " + std::to_string(keys.status);
+    trouble = not_answered(keys);
     co_return;
   }
   for (const Json::Value& key : list) {
--- a/src/consul/release_command.cpp
+++ b/src/consul/release_command.cpp
@@ -14,10 +14,6 @@
 
 using What = ReleaseOrder::What;
 
-std::string not_answered(const AgentAnswer& answer) {
-  return "Consul has not answered, status " + std::to_string(answer.status);
-}
-
 void print_budget(const drain::BudgetSeen& seen, std::ostream& out) {
   if (!seen.budget) {
     out << "no slot has ever been taken, and no budget set: the relays' own settings hold\n";
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -56,6 +56,10 @@
     add("refresh.shared", f->lists_shared);
     add("refresh.refused", f->shares_refused);
     add("refresh.followed", f->lists_followed);
+    add("ejection.reports", f->reports);
+    add("ejection.verdicts", f->verdicts);
+    add("ejection.refused", f->verdicts_refused);
+    add("ejection.capped", f->capped);
   }
   if (s != nullptr) {
     add("slot.taken", s->taken);
--- a/src/core/limits.hpp
+++ b/src/core/limits.hpp
@@ -27,6 +27,7 @@
   std::size_t fleet_answer = 8 * 1024 * 1024;    // the relays' own registrations, or all roles' keys
   // The list that is shared: Consul takes 512 KiB in one transaction, and a third of it is what base64 adds.
   std::size_t fleet_list = 360 * 1024;
+  std::size_t fleet_ailing = 256;        // endpoints in one relay's report of what rests
   std::size_t fleet_value = 512 * 1024;  // one key's value, as Consul bounds it
 
   // Counts.
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -218,6 +218,7 @@
   if (drains) hold_back([](const HostEntry& host) { return host.condition != Condition::ready; });
   decide(change);
   for (const HostId id : gone) forget(id);
+  if (fleet_ && fleet_->cap() && *fleet_->cap()) cap_rests();  // of hosts that have come since, too
 }
 
 void Reducer::on(const NoticeTaken& n) {
@@ -244,7 +245,50 @@
 
 void Reducer::on(const FleetHeard& f) {
   if (!fleet_) return;
-  for (fleet::Effect& e : fleet_->handle(now_, f.input)) effect(FleetDo{std::move(e)});
+  const auto* const reporter = std::get_if<fleet::ReporterHeard>(&f.input);
+  const auto* const arbiter = std::get_if<fleet::ArbiterHeard>(&f.input);
+  std::vector<fleet::Effect> effects;
+  if (reporter && std::holds_alternative<ejection::LookDue>(reporter->input)) {
+    effects = fleet_->handle(now_, fleet::ReporterHeard{ejection::LookDue{view()}});
+  } else if (arbiter && std::holds_alternative<ejection::ReportsRead>(arbiter->input)) {
+    auto read = std::get<ejection::ReportsRead>(arbiter->input);
+    read.listed = view().listed;
+    effects = fleet_->handle(now_, fleet::ArbiterHeard{std::move(read)});
+  } else {
+    effects = fleet_->handle(now_, f.input);
+  }
+  for (fleet::Effect& e : effects) {
+    const auto* const done = std::get_if<fleet::ReporterDo>(&e);
+    if (done && std::holds_alternative<ejection::CapEndpoints>(done->effect)) {
+      cap_rests();
+    } else {
+      effect(FleetDo{std::move(e)});
+    }
+  }
+}
+
+ejection::View Reducer::view() const {
+  ejection::View view;
+  for (const auto& [id, host] : cluster_) {
+    if (host.entry.condition != Condition::gone)
+      view.listed.push_back(
+          {host.entry.id, host.entry.destination, host.entry.condition == Condition::ready});
+  }
+  for (const starlinghook::Ailing& a : forwarder_.ailing()) {
+    const auto it = cluster_.find(a.endpoint);
+    if (it != cluster_.end())
+      view.ailing.push_back({it->second.entry.id, static_cast<ejection::State>(a.ail), a.bad});
+  }
+  return view;
+}
+
+void Reducer::cap_rests() {
+  starlinghook::RestsCapped capped;
+  if (const auto& cap = *fleet_->cap()) {
+    for (const std::string& host : ejection::kept(*cap, view().listed))
+      capped.kept.push_back(host_ids_.at(host));
+  }
+  decide(capped);
 }
 
 // --- Actions
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -206,6 +206,9 @@
   void on(const FleetPlanned&);
   void on(const FleetHeard&);
 
+  // The cap on endpoints out: what this relay shows of them, and what may not rest.
+  ejection::View view() const;
+  void cap_rests();
   void decide(const starlinghook::Event& event);
   void carry(const starlinghook::Send& action);
   void carry(const starlinghook::Refuse& action);
--- a/src/core/reducer_memory.cpp
+++ b/src/core/reducer_memory.cpp
@@ -7,7 +7,7 @@
 namespace fennellane {
 namespace {
 
-constexpr std::uint32_t kMemoryVersion = 4;
+constexpr std::uint32_t kMemoryVersion = 5;
 
 }  // namespace
 
--- a/src/delivery_policy.cpp
+++ b/src/delivery_policy.cpp
@@ -40,8 +40,7 @@
 constexpr std::uint32_t kMany = 10;  // so many forwarders see too little each to find their parts
 constexpr double kAmple = 4;         // even parts that one of many may take before it is told of less
 constexpr double kManyLeast = 8;     // part of the even part kept where all is refused
-constexpr double kRoomLeft = 0.3,
-                 kNoneLeft = 0.1;  // of an allowance: more is asked for over the one, less under
+constexpr double kRoomLeft = 0.3, kNoneLeft = 0.1;  // of an allowance: over the one more is asked for
 constexpr double kPaceMore = 0.1, kPaceBack = 0.4;  // by so much, each answer, and up to the even part
 constexpr double kOtherLimit = 0.25;                // a limit that differs by more is another one
 constexpr double kBatchBurst = 2;                   // longer bursts where a call may carry several messages
@@ -64,8 +63,7 @@
 constexpr double kSlowTimes = 3;  // a destination that takes so many times the usual may hold half the slots
 constexpr double kNoLimit = 1e9;
 constexpr int kCrowdedPart = 4;  // one more call is tried after this part of the overload time
-constexpr Time kNever = Time::max();
-constexpr Time kLongAgo = Time::min() / 2;
+constexpr Time kNever = Time::max(), kLongAgo = Time::min() / 2;
 
 double seconds(Time t) { return std::chrono::duration<double>(t).count(); }
 Time from_seconds(double s) {
@@ -84,8 +82,7 @@
   double doubt_share = 0;  // recent share of failures that may have taken effect
   bool sick = false;       // in an outage, or cold after it
   double earned = 0;       // calls added to the cold budget by successes since the last failure or refusal
-  Time rest_until = kLongAgo;
-  Time last_ok = kLongAgo;
+  Time rest_until = kLongAgo, last_ok = kLongAgo;
   std::optional<Time> ok_since;  // first success after the last failure; starts the cold time
   Time failing_since{};
   Time last_trial = kLongAgo;  // where many share the cold budget
@@ -100,19 +97,17 @@
   Health health;
   std::size_t in_flight = 0;
   double window = 1;  // congestion window, in calls
-  Time last_cut = kLongAgo;
-  Time last_slowed = kLongAgo;
+  Time last_cut = kLongAgo, last_slowed = kLongAgo;
   Time wait_until = kLongAgo;  // told by the destination
   double told = 0;             // limit that answers report; holds where clearly under a listed rate
   double pace_share = 1;       // of the limit
   double burst_seconds = kBurstSeconds;
   double tokens = 1;
   Time tokens_at = kLongAgo;
-  Time refused_at = kLongAgo;  // the newest refusal, where many share the limit
-  Time turn = kLongAgo;        // this forwarder's next call after it
-  Time spread{};               // between its turns
-  double answer_mean = 0;      // seconds; 0 until the first answer
-  double answer_spread = 0;
+  Time refused_at = kLongAgo;                 // the newest refusal, where many share the limit
+  Time turn = kLongAgo;                       // this forwarder's next call after it
+  Time spread{};                              // between its turns
+  double answer_mean = 0, answer_spread = 0;  // seconds; 0 until the first answer
 };
 
 struct Endpoint {
@@ -134,9 +129,8 @@
   Time handed_in{};  // by the client for the first time
   Time deadline{};
   Time not_before{};  // backoff or told wait
-  bool ended = false;
+  bool ended = false, may_have_run = false;
   std::uint32_t attempts = 0;
-  bool may_have_run = false;
   Time doubt_since{};  // send of the first attempt that may have run
   std::uint32_t doubt_zone = 0;
   Time sent_at{};
@@ -184,6 +178,16 @@
 
   template <class A>
   void remember(A& archive);
+  std::vector<Ailing> ailing() const {
+    std::vector<Ailing> all;
+    for (const auto& [id, e] : endpoints_) {
+      const Route& r = *e.route;
+      const bool fails = failing(e.health) || failing(r.health), cold = e.health.sick || r.health.sick;
+      if (e.entry.condition != Condition::ready || !(fails || cold || limit(r) * 2 < r.rate)) continue;
+      all.push_back({id, fails ? Ail::failing : cold ? Ail::cold : Ail::lowered, e.health.fail_share});
+    }
+    return all;
+  }
   std::size_t records() const { return messages_.size() + calls_.size() + endpoints_.size() + keys_.size(); }
 
   void handle(Time now, const Event& event, std::vector<Action>& out) {
@@ -336,6 +340,7 @@
   }
 
   void on(const Stopping& e) { stop_at_ = e.at; }
+  void on(const RestsCapped& e) { kept_ = {e.kept.begin(), e.kept.end()}; }
 
   void on(const TimerFired&) {
     if (timer_at_ <= now_) timer_at_ = kNever;
@@ -436,9 +441,8 @@
     return kNever;
   }
 
-  // Guards against very many forwarders striking a small limit, or a shut destination, with few calls each.
-  // Turns spread with each refusal, to an even part and, when refused twice, to what a cold destination
-  // stands.
+  // Guards against very many forwarders striking a small limit, or a shut destination, with few calls each:
+  // turns spread with each refusal, to an even part and, refused twice, to what a cold destination stands.
   bool crowded(const Route& r) const {
     return s_.forwarders > 1 && r.rate < kCrowdRate * s_.forwarders;  // also where no rate is told
   }
@@ -691,6 +695,7 @@
       if (r.in_flight >= static_cast<std::size_t>(r.window)) return kNever;
       if (crowded_out(e)) return kNever;
       for (Health* h : {&e.health, &r.health}) {
+        if (kept_.count(e.entry.endpoint)) break;  // the fleet rests enough: only the cold budget binds
         open = std::max(open, h->rest_until);
         std::size_t out = h == &e.health ? e.out.size() : r.in_flight;
         if (failing(*h) && out > 0) return kNever;  // half-open: one trial at a time
@@ -904,8 +909,7 @@
   }
 
   // A waiting message that no endpoint can take in the time left gets its answer at once. Guards the time
-  // that each event costs: all that wait are looked through only when it is due for one of them, and now and
-  // then.
+  // that an event costs: all that wait are looked through only when one of them is due, and now and then.
   void give_up(Destination& d) {
     if (now_ < d.look_at) return wake_at(d.look_at);
     d.look_at = now_ + kLookAgain;
@@ -919,8 +923,7 @@
     for (Message* m : lost) answer(*m, d);
   }
 
-  // Guards against held messages filling the room. The one worth least after waiting as long again is
-  // answered.
+  // Guards against held messages filling the room: the one worth least after as long again is answered.
   void make_room() {
     const std::size_t room = s_.max_held - std::min(s_.max_held - 1, share_of(s_.max_held, kRoomReserve));
     auto promise = [this](const Message& m) { return worth_at(m, now_ + (now_ - m.handed_in)); };
@@ -937,8 +940,7 @@
   }
 
   // Guards against calls without an answer holding every slot, or every connection that an endpoint takes,
-  // while messages wait: silence, stalls, slow tails. The most overdue call is called off; its answer may
-  // have been about to come.
+  // while messages wait. The most overdue one is called off, though its answer may have been about to come.
   void free_slots() {
     if (!s_.can_cancel) return;
     bool wanted = false;  // any slot
@@ -1033,8 +1035,7 @@
 
   const Settings s_;
   std::mt19937_64 random_;
-  Time now_{};
-  Time start_{};
+  Time now_{}, start_{};
   std::vector<Action>* out_ = nullptr;
   std::map<std::pair<DestinationId, std::optional<EndpointId>>, Route> routes_;
   std::map<EndpointId, Endpoint> endpoints_;
@@ -1058,10 +1059,8 @@
   double listed_rate_ = 0;          // of all routes
   std::size_t log_lines_ = 0;
   int list_failures_ = 0;
-  Time next_ask_ = kNever;
-  Time due_ = kNever;
-  Time timer_at_ = kNever;
-  Time stop_at_ = kNever;
+  Time next_ask_ = kNever, due_ = kNever, timer_at_ = kNever, stop_at_ = kNever;
+  std::set<EndpointId> kept_;  // that may not rest
 };
 
 Forwarder::Forwarder(const Settings& settings) : policy_(std::make_unique<Policy>(settings)) {}
@@ -1069,6 +1068,7 @@
 Forwarder::Forwarder(Forwarder&&) noexcept = default;
 Forwarder& Forwarder::operator=(Forwarder&&) noexcept = default;
 std::size_t Forwarder::records() const { return policy_->records(); }
+std::vector<Ailing> Forwarder::ailing() const { return policy_->ailing(); }
 void Forwarder::start(Time now, std::vector<Action>& actions) { policy_->start(now, actions); }
 void Forwarder::handle(Time now, const Event& event, std::vector<Action>& actions) {
   policy_->handle(now, event, actions);
--- a/src/fleet/fleet_memory.hpp
+++ b/src/fleet/fleet_memory.hpp
@@ -12,9 +12,11 @@
   for (lease::Lease& lease : leases_) lease.remember(archive);
   archive(counts_.acquired, counts_.renews_missed, counts_.lapsed, counts_.lost, counts_.given_up,
           counts_.swept, counts_.sweeps_refused, counts_.lists_shared, counts_.shares_refused,
-          counts_.lists_followed);
+          counts_.lists_followed, counts_.reports, counts_.verdicts, counts_.verdicts_refused,
+          counts_.capped);
   if (slot_) slot_->remember(archive);
   if (mover_) mover_->remember(archive);
+  if (reporter_) reporter_->remember(archive);
 }
 
 }  // namespace fennellane::fleet
--- a/src/fleet/roles.cpp
+++ b/src/fleet/roles.cpp
@@ -19,15 +19,21 @@
       drain_role_ = i;
       coordinator_.emplace(*plan.coordinator);
     }
+    if (roles_[i] == kEjectionRole && plan.arbiter) {
+      ejection_role_ = i;
+      arbiter_.emplace(*plan.arbiter);
+    }
   }
   if (plan.slot) slot_.emplace(*plan.slot);
   if (plan.slot && plan.mover) mover_.emplace(*plan.mover);
+  if (plan.reporter) reporter_.emplace(*plan.reporter);
 }
 
 std::vector<std::string> Fleet::parts() const {
   std::vector<std::string> all = roles_;
   if (slot_) all.emplace_back("(slot)");
   if (mover_) all.emplace_back("(mover)");
+  if (reporter_) all.emplace_back("(reporter)");
   return all;
 }
 
@@ -59,9 +65,13 @@
     std::vector<release::CoordinatorEffect> of_drain;
     if (role == drain_role_ && act) of_drain = coordinator_->acts(now, act->token, leases_[role].session());
     if (role == drain_role_ && std::holds_alternative<lease::Stop>(effect)) coordinator_->stops();
+    std::vector<ejection::ArbiterEffect> of_ejection;
+    if (role == ejection_role_ && act) of_ejection = arbiter_->acts(now, act->token, leases_[role].session());
+    if (role == ejection_role_ && std::holds_alternative<lease::Stop>(effect)) arbiter_->stops();
     out.emplace_back(LeaseDo{role, std::move(effect)});
     refresh(now, std::move(of_refresh), out);
     coordinator(now, std::move(of_drain), out);
+    arbiter(now, std::move(of_ejection), out);
   }
 }
 
@@ -151,6 +161,37 @@
   if (coordinator_) coordinator(now, coordinator_->handle(now, heard.input), out);
 }
 
+// --- The cap on endpoints out
+void Fleet::arbiter(Time now, std::vector<ejection::ArbiterEffect> effects, Effects& out) {
+  for (ejection::ArbiterEffect& effect : effects) {
+    // Guards against a verdict on behalf of a role whose lease has run out unheard.
+    if (std::holds_alternative<ejection::WriteVerdict>(effect) && !leases_[*ejection_role_].may_act(now)) {
+      arbiter_->handle(now, ejection::VerdictWritten{lease::Written::failed});
+      continue;
+    }
+    out.emplace_back(ArbiterDo{std::move(effect)});
+  }
+}
+
+void Fleet::on(Time now, const ReporterHeard& heard, Effects& out) {
+  if (!reporter_) return;
+  for (ejection::ReporterEffect& effect : reporter_->handle(now, heard.input)) {
+    counts_.reports += std::holds_alternative<ejection::WriteReport>(effect) ? 1 : 0;
+    const auto* const cap = std::get_if<ejection::CapEndpoints>(&effect);
+    counts_.capped += cap && cap->verdict ? 1 : 0;
+    out.emplace_back(ReporterDo{std::move(effect)});
+  }
+}
+
+void Fleet::on(Time now, const ArbiterHeard& heard, Effects& out) {
+  if (!arbiter_) return;
+  if (const auto* w = std::get_if<ejection::VerdictWritten>(&heard.input)) {
+    counts_.verdicts += w->how == lease::Written::taken ? 1 : 0;
+    counts_.verdicts_refused += w->how == lease::Written::refused ? 1 : 0;
+  }
+  arbiter(now, arbiter_->handle(now, heard.input), out);
+}
+
 void Fleet::work_later(Time at, Effects& out) { out.emplace_back(SetWorkTimer{at}); }
 
 const lease::Lease* Fleet::sweeping(Time now, Token token) const {
@@ -232,6 +273,10 @@
     const lease::Lease& lease = leases_[*drain_role_];
     coordinator(now, coordinator_->acts(now, *lease.token(), lease.session()), out);
   }
+  if (ejection_role_ && leases_[*ejection_role_].may_act(now)) {
+    const lease::Lease& lease = leases_[*ejection_role_];
+    arbiter(now, arbiter_->acts(now, *lease.token(), lease.session()), out);
+  }
   if (slot_) slot(now, slot_->resume(now), out);
   return out;
 }
--- a/src/fleet/roles.hpp
+++ b/src/fleet/roles.hpp
@@ -9,10 +9,12 @@
 #include <variant>
 #include <vector>
 
+#include "arbiter.hpp"
 #include "coordinator.hpp"
 #include "lease.hpp"
 #include "mover.hpp"
 #include "refresh.hpp"
+#include "reporter.hpp"
 #include "slot.hpp"
 #include "sweep.hpp"
 #include "written.hpp"
@@ -28,8 +30,11 @@
   std::optional<drain::SlotSettings> slot;                  // of the disruption budget
   std::optional<release::MoverSettings> mover;              // with `slot`: staged releases
   std::optional<release::CoordinatorSettings> coordinator;  // where "drain" is among the roles
+  std::optional<ejection::ReporterSettings> reporter;       // of the cap on endpoints out
+  std::optional<ejection::ArbiterSettings> arbiter;         // where "ejection" is among the roles
   std::uint64_t seed = 0;
 };
+inline constexpr const char* kEjectionRole = "ejection";
 inline constexpr const char* kSweepRole = "sweep";
 inline constexpr const char* kRefreshRole = "refresh";
 inline constexpr const char* kDrainRole = "drain";
@@ -67,8 +72,15 @@
 struct CoordinatorHeard {
   release::CoordinatorInput input;
 };
-using Input = std::variant<Seek, Resign, LeaseHeard, RegistrationsRead, RegistrationsRemoved, WorkDue,
-                           RefreshHeard, DrainHeard, ReleaseSeen, MoverHeard, CoordinatorHeard>;
+struct ReporterHeard {
+  ejection::ReporterInput input;
+};
+struct ArbiterHeard {
+  ejection::ArbiterInput input;
+};
+using Input =
+    std::variant<Seek, Resign, LeaseHeard, RegistrationsRead, RegistrationsRemoved, WorkDue, RefreshHeard,
+                 DrainHeard, ReleaseSeen, MoverHeard, CoordinatorHeard, ReporterHeard, ArbiterHeard>;
 
 // --- Effects
 struct LeaseDo {
@@ -102,13 +114,20 @@
 struct CoordinatorDo {
   release::CoordinatorEffect effect;
 };
+struct ReporterDo {  // CapEndpoints ends at the reducer
+  ejection::ReporterEffect effect;
+};
+struct ArbiterDo {
+  ejection::ArbiterEffect effect;
+};
 using Effect = std::variant<LeaseDo, ReadRegistrations, RemoveRegistrations, SetWorkTimer, Swept, RefreshDo,
-                            DrainDo, MoverDo, CoordinatorDo>;
+                            DrainDo, MoverDo, CoordinatorDo, ReporterDo, ArbiterDo>;
 
 struct Counts {
   std::uint64_t acquired = 0, renews_missed = 0, lapsed = 0, lost = 0, given_up = 0;
   std::uint64_t swept = 0, sweeps_refused = 0;
   std::uint64_t lists_shared = 0, shares_refused = 0, lists_followed = 0;
+  std::uint64_t reports = 0, verdicts = 0, verdicts_refused = 0, capped = 0;
 };
 
 class Fleet {
@@ -122,6 +141,8 @@
   const Counts& counts() const { return counts_; }
   bool follows() const { return refresh_ && refresh_->follows(); }  // the shared list
   const drain::Slot* slot() const { return slot_ ? &*slot_ : nullptr; }
+  // Null where there is no cap on endpoints out; else the one in force, if any.
+  const std::optional<ejection::Verdict>* cap() const { return reporter_ ? &reporter_->cap() : nullptr; }
 
   // Of a process that takes over from another: the leases go on, what was under way is asked for again.
   template <class Archive>
@@ -141,10 +162,13 @@
   void on(Time now, const ReleaseSeen& seen, Effects& out);
   void on(Time now, const MoverHeard& heard, Effects& out);
   void on(Time now, const CoordinatorHeard& heard, Effects& out);
+  void on(Time now, const ReporterHeard& heard, Effects& out);
+  void on(Time now, const ArbiterHeard& heard, Effects& out);
   void refresh(Time now, Refresh::Effects effects, Effects& out);
   void slot(Time now, std::vector<drain::Effect> effects, Effects& out);
   void mover(Time now, std::vector<release::MoverEffect> effects, Effects& out);
   void coordinator(Time now, std::vector<release::CoordinatorEffect> effects, Effects& out);
+  void arbiter(Time now, std::vector<ejection::ArbiterEffect> effects, Effects& out);
   void tell(Time now, std::uint32_t role, const lease::Input& input, Effects& out);
   void work_later(Time at, Effects& out);
   // The sweep's lease, where it may act with this token now.
@@ -160,6 +184,9 @@
   std::optional<release::Mover> mover_;
   std::optional<std::uint32_t> drain_role_;
   std::optional<release::Coordinator> coordinator_;
+  std::optional<ejection::Reporter> reporter_;
+  std::optional<std::uint32_t> ejection_role_;
+  std::optional<ejection::Arbiter> arbiter_;
   bool working_ = false;      // a call of the sweep's is out
   std::size_t removing_ = 0;  // registrations, in the transaction that is out
   Counts counts_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -13,6 +13,7 @@
 
 #include "command.hpp"
 #include "config.hpp"
+#include "ejection_agent.hpp"
 #include "fleet.hpp"
 #include "legend.hpp"
 #include "new_process.hpp"
@@ -288,6 +289,9 @@
   CLI::App* owners_command =
       app.add_subcommand("owners", "ask Consul which relay holds which role of the fleet");
   add_config(owners_command);
+  CLI::App* ejections_command = app.add_subcommand(
+      "ejections", "ask Consul which endpoints the fleet finds out, and whether its cap is reached");
+  add_config(ejections_command);
   BudgetCommand budget;
   budget.add(app, add_config);
   ReleaseCommand release;
@@ -336,6 +340,11 @@
         return fennellane::print_owners(*c.consul, *c.fleet, c.limits, std::cout, trouble);
       });
     }
+    if (ejections_command->parsed()) {
+      return ask_fleet(config, settings, [](const fennellane::Config& c, std::string& trouble) {
+        return fennellane::show_ejections(*c.consul, *c.fleet, c.limits, std::cout, trouble);
+      });
+    }
     if (budget.command->parsed()) return budget.run(config, settings);
     if (release.command->parsed()) return release.run(config, settings);
     if (upgrade_command->parsed()) {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -202,6 +202,10 @@
     plan.mover->build = std::filesystem::path(place_.command.program).filename().string();
     plan.coordinator = wanted.release->coordinator;
   }
+  if (wanted.ejection) {
+    plan.reporter = wanted.ejection->reporter;
+    plan.arbiter = wanted.ejection->arbiter;
+  }
   input(FleetPlanned{std::move(plan)});
   fleet_->start();
   if (wanted.drain && !adopted_) adopt_slot();
--- a/src/settings/fleet_settings.hpp
+++ b/src/settings/fleet_settings.hpp
@@ -26,6 +26,12 @@
   bool operator==(const ReleaseSettings&) const = default;
 };
 
+struct EjectionSettings {  // the cap on endpoints out
+  ejection::ReporterSettings reporter;
+  ejection::ArbiterSettings arbiter;
+  bool operator==(const EjectionSettings&) const = default;
+};
+
 struct FleetSettings {
   std::string prefix = "fennellane";  // of all keys in Consul
   std::vector<std::string> roles;     // that this relay may hold
@@ -36,6 +42,7 @@
   fleet::SweepSettings sweep;  // its service is empty where "sweep" is not among the roles
   std::optional<DrainSettings> drain;
   std::optional<ReleaseSettings> release;  // with `drain`
+  std::optional<EjectionSettings> ejection;
   bool operator==(const FleetSettings&) const = default;
 };
 
@@ -54,4 +61,11 @@
   return settings.prefix + "/release/relay/";
 }
 
+inline std::string verdict_key(const FleetSettings& settings) {
+  return settings.prefix + "/ejection/verdict";
+}
+inline std::string ailing_prefix(const FleetSettings& settings) {
+  return settings.prefix + "/ejection/relay/";
+}
+
 }  // namespace fennellane
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -272,6 +272,25 @@
   return r;
 }
 
+EjectionSettings read_ejection(const File& file, const Config& config) {
+  const Json::Value& in = file.value()["fleet"]["ejection"];
+  EjectionSettings e;
+  ejection::Cap& cap = e.arbiter.cap;
+  cap.percent = static_cast<std::uint32_t>(count_of(in, "percent", cap.percent));
+  cap.all_percent = static_cast<std::uint32_t>(count_of(in, "all-percent", cap.all_percent));
+  cap.voices = static_cast<std::uint32_t>(count_of(in, "voices", cap.voices));
+  cap.voices_percent = static_cast<std::uint32_t>(count_of(in, "voices-percent", cap.voices_percent));
+  ejection::ReporterSettings& r = e.reporter;
+  r.relay = config.name;
+  r.most = config.limits.fleet_ailing;
+  r.every = e.arbiter.every = ms_of(in, "every-ms", r.every);
+  r.stale = e.arbiter.stale = ms_of(in, "stale-ms", r.stale);
+  // Guards against a report, or a verdict, that is old before the next one can be there.
+  if (ejection::renew_every(r.stale) < r.every)
+    file.fail("fleet.ejection.stale-ms", "is under three times every-ms");
+  return e;
+}
+
 FleetSettings read_fleet(const File& file, const Config& config) {
   const Json::Value& in = file.value()["fleet"];
   if (!config.consul) file.fail("fleet", "needs a section consul, for its address");
@@ -310,12 +329,17 @@
   if (f.sweep.service.empty() && has_role(f, fleet::kSweepRole))
     file.fail("fleet.sweep.service", "is needed where the relay is not registered itself");
   // Guards the keys that its name becomes a part of.
-  if (in.isMember("drain") && !plain_name(config.name))
-    file.fail("fleet.drain", "the relay's name is no plain one");
+  for (const char* const section : {"drain", "ejection"})
+    if (in.isMember(section) && !plain_name(config.name))
+      file.fail(std::string("fleet.") + section, "the relay's name is no plain one");
   if (in.isMember("drain")) f.drain = read_drain(file, config, least_ttl);
   if (in.isMember("release")) f.release = read_release(file, config, f);
   if (has_role(f, fleet::kDrainRole) && !f.release) file.fail("fleet.roles", "drain needs a section release");
-  if (f.roles.empty() && !f.drain) file.fail("fleet", "names neither roles nor drain");
+  if (in.isMember("ejection")) f.ejection = read_ejection(file, config);
+  if (has_role(f, fleet::kEjectionRole) && !f.ejection)
+    file.fail("fleet.roles", "ejection needs a section ejection");
+  if (f.roles.empty() && !f.drain && !f.ejection)
+    file.fail("fleet", "names neither roles nor drain nor ejection");
   return f;
 }
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -563,6 +563,55 @@
   EXPECT_FALSE(logged_failing(b));
 }
 
+// What the fleet lets no forwarder rest gets what a cold destination stands, and no more.
+TEST(Health, WhatMayNotRestIsBoundByTheColdBudgetAlone) {
+  const auto sends = [](bool capped) {
+    Bench b(settings(), {{1, 7, 0, 0, 5, Condition::ready}});
+    if (capped) b.give(RestsCapped{{1}});
+    for (MessageId id = 1; id <= 30; ++id) {
+      const std::size_t before = b.sent.size();
+      b.message(id);
+      for (Time waited{}; b.sent.size() == before && waited < seconds(3); waited += milliseconds(50))
+        b.advance(milliseconds(50));
+      if (b.sent.size() > before) b.outcome(b.sent.back().first.id, Outcome::connect_failed);
+    }
+    for (const auto& [send, at] : b.sent) {
+      std::size_t within = 0;
+      for (const auto& [other, then] : b.sent) within += then >= at && then < at + seconds(3) ? 1 : 0;
+      EXPECT_LE(within, 6u);  // 2 x a fifth of 5 calls a second, in 3 s
+    }
+    const std::vector<Ailing> ailing = b.forwarder.ailing();
+    EXPECT_EQ(ailing.size(), 1u);
+    if (!ailing.empty()) {
+      EXPECT_EQ(ailing[0].ail, Ail::failing);
+      EXPECT_GT(ailing[0].bad, 0.5);
+    }
+    const Time span = b.last_send() - b.sent.front().second;
+    return static_cast<double>(b.sent.size()) / std::chrono::duration<double>(span).count();
+  };
+  EXPECT_GT(sends(true), 2 * sends(false));
+}
+
+TEST(Health, TellsWhatIsColdAndWhatIsLowered) {
+  Bench b(settings());
+  warm_up(b, 100, 5);
+  EXPECT_TRUE(b.forwarder.ailing().empty());
+  b.message(1);
+  b.outcome(1, Outcome::connect_failed);
+  ASSERT_EQ(b.forwarder.ailing().size(), 1u);
+  b.advance(seconds(5));
+  b.outcome(1, Outcome::delivered);
+  ASSERT_EQ(b.forwarder.ailing().size(), 1u);
+  EXPECT_EQ(b.forwarder.ailing()[0].ail, Ail::cold);
+  b.advance(seconds(11));
+  b.message(2);
+  b.give(AttemptEnded{2, 0, 1, Outcome::delivered, true, {}, false, {true, 0.5, 20}, false, Time(-1)});
+  ASSERT_EQ(b.forwarder.ailing().size(), 1u);
+  EXPECT_EQ(b.forwarder.ailing()[0].ail, Ail::lowered);
+  b.give(ListChanged{false, false, {{1, 7, 0, 0, 50, Condition::draining}}});
+  EXPECT_TRUE(b.forwarder.ailing().empty());  // the list tells it
+}
+
 // An endpoint that was replaced, while the list still names it, refuses connections: it rests alone, and what
 // waits goes to its sibling at once.
 TEST(DestinationMemory, AnEndpointThatIsGoneRestsAlone) {
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -67,6 +67,11 @@
   EXPECT_EQ(drained.fleet->release->folder, "/opt/fennellane");
   EXPECT_EQ(drained.fleet->release->coordinator, release::CoordinatorSettings{});
 
+  const Config capped = apply_settings(shipped("ejection.sexp"), "ejection.sexp", platform);
+  ASSERT_TRUE(capped.fleet && capped.fleet->ejection);
+  EXPECT_EQ(capped.fleet->ejection->arbiter, ejection::ArbiterSettings());
+  EXPECT_EQ(capped.fleet->ejection->reporter.relay, platform.name);
+
   EXPECT_FALSE(platform.upgrade);
   const Config upgraded = apply_settings(shipped("upgrade.sexp"), "upgrade.sexp", platform);
   EXPECT_EQ(upgraded.upgrade, UpgradeSettings());
@@ -120,6 +125,10 @@
       {kLeast + kHost + kAgent + "(fleet (roles \"sweep\") (renew-ms 12000))",
        "its times cannot be kept: renew_every + call"},
       {kLeast + kHost + kAgent + "(fleet)", "fleet: names neither roles nor drain"},
+      {kLeast + kHost + kAgent + "(fleet (roles \"ejection\"))", "fleet.roles: ejection needs a section"},
+      {kLeast + kHost + kAgent + "(fleet (ejection (every-ms 2000) (stale-ms 5000)))",
+       "fleet.ejection.stale-ms: is under three times every-ms"},
+      {kLeast + kHost + kAgent + "(fleet (ejection (percent 101)))", "fleet.ejection.percent"},
       {kLeast + kHost + kAgent + "(fleet (drain (most 0)))", "fleet.drain.most: nothing bounds"},
       {kLeast + kHost + kAgent + "(fleet (drain (per-zone 1)))", "fleet.drain.zone: is needed"},
       {kLeast + kHost + kAgent + "(fleet (drain (percent 10)))", "fleet.drain.service: is needed"},
--- a/tools/harness/fleet_lab.cpp
+++ b/tools/harness/fleet_lab.cpp
@@ -62,6 +62,22 @@
   return milliseconds(ttl);
 }
 
+void add_ejection(LabSettings& settings, std::size_t failing, std::size_t percent) {
+  settings.role = "ejection";
+  settings.destinations = 2;
+  settings.time_left_ms = 3000;
+  // And the only host of the first destination.
+  settings.most_ejected = std::max<std::size_t>(1, percent * (failing + 1) / 100) + 1;
+  settings.drain = "(ejection (percent " + std::to_string(percent) + ") (all-percent 100) (voices 2) " +
+                   ms("every", 50) + ms("stale", 600) + ") ";
+  const auto host = [&settings](const std::string& id, const std::string& address) {
+    settings.more += "(host (id \"" + id + "\") (address \"" + address + "\") (destination 1) (rate 1000))\n";
+  };
+  host("well", "@partner");
+  for (std::size_t i = 0; i < failing; ++i)
+    host("ill" + std::to_string(i), "127.0.0.1:1");  // nobody is there
+}
+
 double ttl_slack(std::uint64_t seed) { return 1 + static_cast<double>(seed % 5) / 4; }
 
 std::string text_of(const Fault& f) {
@@ -160,6 +176,9 @@
   const LabTiming& t = settings_.timing;
   std::string drain = settings_.drain;
   if (const std::size_t at = drain.find("@zone"); at != std::string::npos) drain.replace(at, 5, zone(i));
+  std::string more = settings_.more;
+  if (const std::size_t at = more.find("@partner"); at != std::string::npos)
+    more.replace(at, 8, m.to_partner->address());
   return "(name \"r" + std::to_string(i) + "\") (listen \"" + m.process->address() + "\")\n" +
          "(limits (sockets 256) (memory-mb 64) (disk-mb 3)) (log (lines 100000))\n"
          "(class (name \"note\") (effect \"free\") (aim-ms 2000) (give-up-ms 20000) (late-worth 0.4))\n"
@@ -171,7 +190,7 @@
          drain + ms("ttl", t.ttl) + ms("renew", t.renew) + ms("margin", t.margin) +
          ms("lock-delay", t.lock_delay) + ms("call", t.call) + ms("retry", t.retry) + ms("spread", t.spread) +
          ms("wait", t.wait) + "(consul-least-ttl-ms 100) (sweep (service \"" + kService +
-         "\") (every-ms 20) (stale-after-ms 0)))\n" + settings_.more;
+         "\") (every-ms 20) (stale-after-ms 0)))\n" + more;
 }
 
 void FleetLab::start() {
@@ -223,10 +242,12 @@
 }
 
 bool FleetLab::offer_to(std::size_t i) {
-  const bool pay = offered_ / members_.size() % 2 == 0;
+  const std::size_t turn = offered_ / members_.size();
+  const bool pay = turn % 2 == 0;
+  const std::size_t destination = pay ? 0 : turn / 2 % settings_.destinations;
   const std::string id = "m" + std::to_string(offered_++);
   if (members_[i]->process->ask(
-          standin::message_text(id, pay, 0, 200, std::to_string(settings_.time_left_ms))) != 202)
+          standin::message_text(id, pay, destination, 200, std::to_string(settings_.time_left_ms))) != 202)
     return false;
   taken_[id] = "r" + std::to_string(i);
   if (pay) pays_.insert(id);
@@ -398,6 +419,7 @@
   h.outages = outages_;
   h.most = settings_.most;
   h.per_zone = settings_.per_zone;
+  h.most_ejected = settings_.most_ejected;
   for (std::size_t i = 0; i < members_.size(); ++i) {
     const std::string name = "r" + std::to_string(i);
     const Member& m = *members_[i];
--- a/tools/harness/fleet_lab.hpp
+++ b/tools/harness/fleet_lab.hpp
@@ -31,17 +31,19 @@
   std::size_t relays = 3;
   std::uint64_t seed = 1;
   LabTiming timing;
-  bool fence = true;         // false: a planted bug of the store
-  bool cas = true;           // false: another
-  bool messages = true;      // clients hand in messages meanwhile
-  int time_left_ms = 20000;  // of a message
-  std::size_t faults = 4;    // of a random schedule
-  std::string more;          // settings of every relay
+  bool fence = true;             // false: a planted bug of the store
+  bool cas = true;               // false: another
+  bool messages = true;          // clients hand in messages meanwhile
+  int time_left_ms = 20000;      // of a message
+  std::size_t faults = 4;        // of a random schedule
+  std::string more;              // settings of every relay; `@partner` stands for its way to the partner
+  std::size_t destinations = 1;  // notes go to in turn; `more` has the hosts of all but the first
   std::string role = "sweep";
   // Of the section fleet, where there is a disruption budget; `@zone` stands for the relay's zone.
   std::string drain;
   std::size_t most = 0, per_zone = 0;  // as `drain` has them, for the checker
   std::size_t zones = 2;               // given in turn: a, b, a, b
+  std::size_t most_ejected = 0;        // endpoints that a verdict may let rest, for the checker; 0: any
 };
 
 struct Fault {
@@ -65,6 +67,9 @@
 // A disruption budget of so many relays for `settings`, with times scaled down; with `stops` long enough for
 // an outing by SIGTERM, which takes 3.2 s, and without for an upgrade. Returns the time that a session lasts.
 milliseconds add_budget(LabSettings& settings, std::size_t most, std::size_t per_zone, bool stops);
+// A destination 1 of one host that serves and `failing` that do not, and a cap on endpoints out, with its
+// role.
+void add_ejection(LabSettings& settings, std::size_t failing, std::size_t percent);
 std::string text_of(const Fault& fault);
 // How many times its TTL a session lasts at this seed's store.
 double ttl_slack(std::uint64_t seed);
--- a/tools/harness/history.cpp
+++ b/tools/harness/history.cpp
@@ -67,19 +67,27 @@
   std::string relay, zone;
 };
 
+Json::Value parsed(const std::string& text) {
+  Json::Value value;
+  std::string errors;
+  std::istringstream in(text);
+  return Json::parseFromStream(Json::CharReaderBuilder(), in, &value, &errors) ? value : Json::Value();
+}
+
+// What a transaction writes with this verb to the key that ends so; null where it does not.
+Json::Value value_written(const std::string& transaction, const char* verb, const char* key) {
+  for (const Json::Value& operation : parsed(transaction)) {
+    const Json::Value& kv = operation["KV"];
+    if (kv["Verb"].asString() == verb && kv["Key"].asString().ends_with(key))
+      return parsed(standin::bytes_of_base64(kv["Value"].asString()));
+  }
+  return {};
+}
+
 // The holders that a transaction writes into the budget's lock key, by session; nothing where it does not.
 std::map<std::string, SlotHolder> holders_written(const std::string& transaction) {
   std::map<std::string, SlotHolder> holders;
-  const auto parsed = [](const std::string& text) {
-    Json::Value value;
-    std::string errors;
-    std::istringstream in(text);
-    return Json::parseFromStream(Json::CharReaderBuilder(), in, &value, &errors) ? value : Json::Value();
-  };
-  for (const Json::Value& operation : parsed(transaction)) {
-    const Json::Value& kv = operation["KV"];
-    if (kv["Verb"].asString() != "cas" || !kv["Key"].asString().ends_with("/.lock")) continue;
-    const Json::Value value = parsed(standin::bytes_of_base64(kv["Value"].asString()));
+  if (const Json::Value value = value_written(transaction, "cas", "/.lock"); !value.isNull()) {
     for (const std::string& session : value["Holders"].getMemberNames()) {
       const Json::Value& holder = value["Holders"][session];
       holders[session] = {holder["relay"].asString(), holder["zone"].asString()};
@@ -145,6 +153,24 @@
   return "";
 }
 
+std::string breach_of_verdicts(const History& h) {
+  std::uint64_t newest = 0;
+  for (const standin::StoreEvent& e : h.store) {
+    if (e.kind == Kind::restarted && e.value == "lost") newest = 0;
+    if (e.kind != Kind::written || !e.key.ends_with("/role/ejection")) continue;
+    const Json::Value verdict = value_written(e.value, "set", "/ejection/verdict");
+    if (verdict.isNull()) continue;
+    const std::uint64_t token = verdict["token"].asUInt64();
+    const std::string what = "a verdict of token " + std::to_string(token);
+    if (token < newest) return what + " was taken after one of " + std::to_string(newest);
+    newest = token;
+    if (h.most_ejected > 0 && verdict["out"].size() > h.most_ejected)
+      return what + " lets " + std::to_string(verdict["out"].size()) + " endpoints rest of " +
+             std::to_string(h.most_ejected);
+  }
+  return "";
+}
+
 std::string breach_of_messages(const History& h) {
   std::map<std::string, std::size_t> calls;
   for (const Call& c : h.calls) ++calls[c.id];
@@ -166,6 +192,7 @@
   if (found.empty() && history.state_kept) found = breach_of_claims(history);
   if (found.empty() && history.state_kept) found = breach_of_slots(history);
   if (found.empty() && history.state_kept) found = breach_of_outages(history);
+  if (found.empty()) found = breach_of_verdicts(history);
   if (found.empty()) found = breach_of_messages(history);
   return found;
 }
--- a/tools/harness/history.hpp
+++ b/tools/harness/history.hpp
@@ -43,6 +43,7 @@
   std::chrono::milliseconds lock_delay{};
   std::vector<Outage> outages;
   std::size_t most = 0, per_zone = 0;  // of the disruption budget; 0: it does not say
+  std::size_t most_ejected = 0;        // endpoints that a verdict may let rest; 0: it does not say
   bool state_kept = true;              // false: Consul lost its state, and tokens may begin anew
 };
 
@@ -55,7 +56,9 @@
 //  4. every message taken on has an end: a call at the partner, or it is told as undelivered; none is held;
 //  5. a message that must not take effect twice was called at most once;
 //  6. no more slots of the disruption budget are held by live sessions than it says, in all and of a zone;
-//  7. no more relays are out by plan at once.
+//  7. no more relays are out by plan at once;
+//  8. no verdict lets more endpoints rest than the cap says, and none is taken of an older token than
+//  another.
 std::string breach(const History& history);
 
 // The most slots held, and the most relays out by plan, at once.
