--- a/src/consul/ejection_agent.cpp
+++ b/src/consul/ejection_agent.cpp
@@ -34,6 +34,7 @@
     one["host"] = a.host;
     one["state"] = name_of(a.state);
     one["bad"] = a.bad;
+    one["kept"] = a.kept;
     out["ailing"].append(std::move(one));
   }
   return json_text(out);
@@ -51,8 +52,8 @@
         for (const Json::Value& one : v["ailing"]) {
           const auto state = state_named(one["state"].asString());
           if (!state) return false;
-          read.report.ailing.push_back(
-              {one["host"].asString(), *state, std::clamp(one["bad"].asDouble(), 0.0, 1.0)});
+          read.report.ailing.push_back({one["host"].asString(), *state,
+                                        std::clamp(one["bad"].asDouble(), 0.0, 1.0), one["kept"].asBool()});
         }
         return !read.report.relay.empty();
       });
@@ -87,6 +88,9 @@
     v.all = in["all"].asBool();
     for (const Json::Value& destination : in["closed"]) v.closed.push_back(destination.asUInt());
     for (const Json::Value& host : in["out"]) v.out.push_back(host.asString());
+    // Guards those who look things up in them.
+    std::sort(v.closed.begin(), v.closed.end());
+    std::sort(v.out.begin(), v.out.end());
     v.failing = in["failing"].asUInt();
     v.reduced = in["reduced"].asUInt();
     v.drained = in["drained"].asUInt();
@@ -200,7 +204,8 @@
 void print_reports(const std::vector<ejection::Read>& reports, std::ostream& out) {
   std::map<std::string, std::map<std::string, int>> hosts;
   for (const ejection::Read& read : reports)
-    for (const ejection::Ailing& a : read.report.ailing) ++hosts[a.host][name_of(a.state)];
+    for (const ejection::Ailing& a : read.report.ailing)
+      ++hosts[a.host][std::string(name_of(a.state)) + (a.kept ? " and called" : "")];
   for (const auto& [host, states] : hosts) {
     out << host << ":";
     for (const auto& [state, relays] : states) out << " " << state << " at " << relays;
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -274,20 +274,25 @@
       view.listed.push_back(
           {host.entry.id, host.entry.destination, host.entry.condition == Condition::ready});
   }
+  const std::vector<std::string> all = kept_hosts(view.listed);
+  const std::unordered_set<std::string> kept(all.begin(), all.end());
   for (const starlinghook::Ailing& a : forwarder_.ailing()) {
     const auto it = cluster_.find(a.endpoint);
-    if (it != cluster_.end())
-      view.ailing.push_back({it->second.entry.id, static_cast<ejection::State>(a.ail), a.bad});
+    if (it == cluster_.end()) continue;
+    const std::string& host = it->second.entry.id;
+    view.ailing.push_back({host, static_cast<ejection::State>(a.ail), a.bad, kept.count(host) > 0});
   }
   return view;
 }
 
+std::vector<std::string> Reducer::kept_hosts(const std::vector<ejection::Listed>& listed) const {
+  const auto* const cap = fleet_ ? fleet_->cap() : nullptr;
+  return cap && *cap ? ejection::kept(**cap, listed) : std::vector<std::string>();
+}
+
 void Reducer::cap_rests() {
   starlinghook::RestsCapped capped;
-  if (const auto& cap = *fleet_->cap()) {
-    for (const std::string& host : ejection::kept(*cap, view().listed))
-      capped.kept.push_back(host_ids_.at(host));
-  }
+  for (const std::string& host : kept_hosts(view().listed)) capped.kept.push_back(host_ids_.at(host));
   decide(capped);
 }
 
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -208,6 +208,7 @@
 
   // The cap on endpoints out: what this relay shows of them, and what may not rest.
   ejection::View view() const;
+  std::vector<std::string> kept_hosts(const std::vector<ejection::Listed>& listed) const;
   void cap_rests();
   void decide(const starlinghook::Event& event);
   void carry(const starlinghook::Send& action);
--- a/src/ejection/cap.cpp
+++ b/src/ejection/cap.cpp
@@ -91,8 +91,10 @@
 std::vector<std::string> kept(const Verdict& verdict, const std::vector<Listed>& listed) {
   std::vector<std::string> all;
   for (const Listed& host : listed) {
-    const bool closed = verdict.all || has(verdict.closed, host.destination);
-    if (closed && !has(verdict.out, host.host)) all.push_back(host.host);
+    const bool closed =
+        verdict.all || std::binary_search(verdict.closed.begin(), verdict.closed.end(), host.destination);
+    if (closed && !std::binary_search(verdict.out.begin(), verdict.out.end(), host.host))
+      all.push_back(host.host);
   }
   return all;
 }
--- a/src/ejection/cap.hpp
+++ b/src/ejection/cap.hpp
@@ -24,7 +24,8 @@
 struct Ailing {
   std::string host;
   State state{};
-  double bad = 0;  // recent share of failures there, 0 to 1
+  double bad = 0;     // recent share of failures there, 0 to 1
+  bool kept = false;  // by the cap: it fails, and does not rest
   bool operator==(const Ailing&) const = default;
 };
 struct Listed {  // as one relay's own list has it
--- a/src/ejection/reporter.cpp
+++ b/src/ejection/reporter.cpp
@@ -20,9 +20,10 @@
     ailing.resize(settings_.most);
   }
   // How bad it is moves with each call; only what is out, and how, is worth a write.
-  const bool changed =
-      !std::equal(ailing.begin(), ailing.end(), reported_.begin(), reported_.end(),
-                  [](const Ailing& a, const Ailing& b) { return a.host == b.host && a.state == b.state; });
+  const bool changed = !std::equal(ailing.begin(), ailing.end(), reported_.begin(), reported_.end(),
+                                   [](const Ailing& a, const Ailing& b) {
+                                     return a.host == b.host && a.state == b.state && a.kept == b.kept;
+                                   });
   if (!reported_at_ || changed || now - *reported_at_ >= renew_every(settings_.stale)) {
     reported_at_ = now;
     reported_ = ailing;
--- a/tests/ejection_test.cpp
+++ b/tests/ejection_test.cpp
@@ -27,7 +27,9 @@
   return nullptr;
 }
 
-Ailing ill(const std::string& host, double bad, State state = State::failing) { return {host, state, bad}; }
+Ailing ill(const std::string& host, double bad, State state = State::failing) {
+  return {host, state, bad, false};
+}
 const std::vector<Listed> kFour = {{"a", 1}, {"b", 1}, {"c", 1}, {"d", 1}};
 constexpr Cap kHalf{50, 100, 0, 2};
 
@@ -307,6 +309,7 @@
   EXPECT_NE(shown.find("cap reached at 0 1"), std::string::npos) << shown;
   std::size_t rest = 0;
   for (std::size_t at = 0; (at = shown.find("may rest: ", at)) != std::string::npos; ++at) ++rest;
+  EXPECT_TRUE(while_offering(lab, [&] { return lab.resting() == 3; }));
   EXPECT_EQ(rest, 3u) << shown;  // two of four, and the only one of the other destination
   // What comes back is found, and the cap lifted.
   for (std::size_t i = 0; i < 3; ++i) lab.to_partner(i).set(PathFault::none);
--- a/tools/harness/fleet_lab.cpp
+++ b/tools/harness/fleet_lab.cpp
@@ -8,6 +8,7 @@
 #include <thread>
 #include <utility>
 
+#include "ejection_agent.hpp"
 #include "load.hpp"
 
 namespace fennellane::harness {
@@ -62,14 +63,14 @@
   return milliseconds(ttl);
 }
 
-void add_ejection(LabSettings& settings, std::size_t failing, std::size_t percent) {
+void add_ejection(LabSettings& settings, std::size_t failing, std::size_t percent, int slower) {
   settings.role = "ejection";
   settings.destinations = 2;
   settings.time_left_ms = 3000;
   // And the only host of the first destination.
   settings.most_ejected = std::max<std::size_t>(1, percent * (failing + 1) / 100) + 1;
   settings.drain = "(ejection (percent " + std::to_string(percent) + ") (all-percent 100) (voices 2) " +
-                   ms("every", 50) + ms("stale", 600) + ") ";
+                   ms("every", 50 * slower) + ms("stale", 375 * slower) + ") ";
   const auto host = [&settings](const std::string& id, const std::string& address) {
     settings.more += "(host (id \"" + id + "\") (address \"" + address + "\") (destination 1) (rate 1000))\n";
   };
@@ -344,6 +345,19 @@
   }
 }
 
+std::size_t FleetLab::resting() {
+  const standin::StoreAnswer answer =
+      consul_.ask({"GET", "/v1/kv/lab/ejection/relay/", {{"recurse", ""}}, ""});
+  std::vector<ejection::Read> reports;
+  if (answer.status == 200) read_reports(answer.body, reports);
+  std::map<std::string, std::size_t> relays;
+  for (const ejection::Read& read : reports)
+    for (const ejection::Ailing& a : read.report.ailing)
+      relays[a.host] += a.state == ejection::State::failing && !a.kept ? 1 : 0;
+  return static_cast<std::size_t>(
+      std::count_if(relays.begin(), relays.end(), [](const auto& each) { return each.second >= 2; }));
+}
+
 bool FleetLab::settled() {
   bring_back();
   if (std::any_of(members_.begin(), members_.end(), [](const auto& m) { return m->leaves; })) return false;
@@ -353,6 +367,7 @@
     if (left.status == 200 && left.body.find("\"Session\"") != std::string::npos) return false;
   }
   if (holder() >= members_.size()) return false;
+  if (settings_.most_ejected > 0 && resting() > settings_.most_ejected) return false;
   if (settings_.role == "sweep" && registrations_left() > 0) return false;
   return std::all_of(members_.begin(), members_.end(),
                      [](const auto& m) { return m->process->counter("journal.held") == 0; });
--- a/tools/harness/fleet_lab.hpp
+++ b/tools/harness/fleet_lab.hpp
@@ -69,7 +69,8 @@
 milliseconds add_budget(LabSettings& settings, std::size_t most, std::size_t per_zone, bool stops);
 // A destination 1 of one host that serves and `failing` that do not, and a cap on endpoints out, with its
 // role.
-void add_ejection(LabSettings& settings, std::size_t failing, std::size_t percent);
+// Its times are scaled down 40-fold, but for `slower`.
+void add_ejection(LabSettings& settings, std::size_t failing, std::size_t percent, int slower = 1);
 std::string text_of(const Fault& fault);
 // How many times its TTL a session lasts at this seed's store.
 double ttl_slack(std::uint64_t seed);
@@ -109,6 +110,8 @@
   // For tests that steer it: outings that were asked for and whose relay has gone come back.
   void ask_outing(std::size_t relay);
   void bring_back();
+  // Endpoints that two relays or more rest by now, as the newest reports have it.
+  std::size_t resting();
   std::size_t outages() const { return outages_.size(); }  // by plan, that are over
   std::string zone(std::size_t relay) const;
   // A registration that its agent has left behind, for the sweep to remove; a holder that acts has work so.
--- a/tools/rehearse_fleet.cpp
+++ b/tools/rehearse_fleet.cpp
@@ -66,6 +66,51 @@
   return 0;
 }
 
+// The cap on endpoints out over so many relays: how long from the first message until the cap is in force at
+// all, and until no more rest than it says; and the calls at Consul then.
+int measure_ejection(const LabSettings& settings, int seconds) {
+  using Clock = std::chrono::steady_clock;
+  const auto seconds_since = [](Clock::time_point t) {
+    return std::chrono::duration<double>(Clock::now() - t).count();
+  };
+  FleetLab lab(settings);
+  lab.start();
+  if (!lab.waits_for_holder_other_than(settings.relays, std::chrono::seconds(60))) return 1;
+  for (std::size_t i = 0; i < lab.size(); ++i) lab.to_partner(i).set(PathFault::refuse);
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  const double relays = static_cast<double>(lab.size());
+  const std::size_t quiet = lab.consul().requests();
+  std::this_thread::sleep_for(std::chrono::seconds(seconds));
+  const double well = static_cast<double>(lab.consul().requests() - quiet) / seconds / relays;
+  const auto began = Clock::now();
+  double over = 0, capped = 0;  // seconds
+  std::size_t most = 0;
+  const auto offer_to_all = [&] {
+    for (std::size_t i = 0; i < lab.size(); ++i) lab.offer_to(i);
+    const std::size_t rest = lab.resting();
+    most = std::max(most, rest);
+    if (rest > settings.most_ejected) over = seconds_since(began);
+  };
+  while (capped == 0 && seconds_since(began) < 60) {
+    offer_to_all();
+    std::size_t heed = 0;
+    for (std::size_t i = 0; i < lab.size(); ++i)
+      heed += lab.relay(i).logged("cap on endpoints out is reached") > 0 ? 1 : 0;
+    if (heed == lab.size()) capped = seconds_since(began);
+  }
+  const std::size_t at = lab.consul().requests();
+  const auto binding = Clock::now();
+  while (seconds_since(binding) < seconds) offer_to_all();
+  const double binds = static_cast<double>(lab.consul().requests() - at) / seconds_since(binding) / relays;
+  std::printf(
+      "%zu relays, at most %zu endpoints may rest: the cap in force at all %.1f s after the first message%s; "
+      "at most %zu rested, more than the cap for the last time after %.1f s; calls at Consul a second and "
+      "relay: %.2f while all is well, %.2f while it binds\n",
+      lab.size(), settings.most_ejected, capped, capped == 0 ? " (NOT reached)" : "", most, over, well,
+      binds);
+  return capped == 0 ? 1 : 0;
+}
+
 // A release over so many relays: how long until all have moved, or, of a sick build, until it was noticed and
 // all were back; and what became of the messages meanwhile, beside the same time without a release.
 int measure_release(const LabSettings& settings, const std::string& to, int watch_ms) {
@@ -135,7 +180,7 @@
   LabSettings settings;
   std::uint64_t first = 1, count = 10;
   int load = 0, slower = 1;
-  bool no_fence = false, quiet = false, events = false, upgrades = false, stops = false;
+  bool no_fence = false, quiet = false, events = false, upgrades = false, stops = false, ejection = false;
   std::size_t most = 0, per_zone = 0;
   app.add_option("program", settings.program, "the relay's")->required();
   app.add_option("--relays", settings.relays)->check(CLI::Range(2, 400))->capture_default_str();
@@ -155,6 +200,7 @@
   app.add_option("--watch", watch_ms, "how long a wave of it is watched, in ms")->capture_default_str();
   app.add_flag("--upgrades", upgrades, "upgrades with a disruption budget, and faults among them");
   app.add_flag("--outings", stops, "the same, with stops by SIGTERM too");
+  app.add_flag("--ejection", ejection, "a cap on endpoints out, of a destination whose hosts fail");
   app.add_option("--most", most, "of the budget; 0: one or two, by seed");
   app.add_option("--per-zone", per_zone, "of the budget; 0: no bound, or one, by seed");
   app.add_flag("--quiet", quiet, "only what broke, and the sum");
@@ -165,6 +211,10 @@
   for (int* each : {&t.ttl, &t.renew, &t.margin, &t.lock_delay, &t.call, &t.retry, &t.spread, &t.wait})
     *each *= slower;
   try {
+    if (load > 0 && ejection) {
+      add_ejection(settings, 3, 50, slower);
+      return measure_ejection(settings, load);
+    }
     if (load > 0) return measure_load(settings, load);
     if (!release_to.empty()) {
       add_budget(settings, most > 0 ? most : std::max<std::size_t>(1, settings.relays / 10), 0, true);
@@ -183,6 +233,7 @@
                                     per_zone > 0 ? per_zone : seed / 2 % 2, stops);
         faults = draw_outings(seed, settings.faults, settings.relays, ttl, stops);
       } else {
+        if (ejection) add_ejection(settings, 2 + seed % 3, seed / 3 % 2 == 0 ? 50 : 25);
         faults = draw_faults(seed, settings.faults, settings.relays, settings.timing);
       }
       FleetLab lab(settings);
