--- a/tools/standin/threaded_server.cpp
+++ b/tools/standin/threaded_server.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace fennellane::standin {
 
@@ -23,11 +24,20 @@
     if (error || stopping_) return;
     socket->set_option(tcp::no_delay(true), error);
     sockets_.push_back(socket);
+    // Guards the address space: a thread that has ended keeps its stack until it is joined, and a release over
+    // 300 relays makes tens of thousands of connections.
+    for (const std::thread::id ended : std::exchange(ended_, {})) {
+      const auto it = std::find_if(threads_.begin(), threads_.end(),
+                                   [ended](const std::thread& each) { return each.get_id() == ended; });
+      it->join();
+      threads_.erase(it);
+    }
     threads_.emplace_back([this, socket] {
       serve_(socket);
       const std::scoped_lock ending(mutex_);
       ::shutdown(socket->native_handle(), SHUT_RDWR);
       std::erase(sockets_, socket);
+      ended_.push_back(std::this_thread::get_id());
     });
   }
 }
--- a/tools/standin/threaded_server.hpp
+++ b/tools/standin/threaded_server.hpp
@@ -5,6 +5,7 @@
 #include <asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -39,7 +40,8 @@
   std::mutex mutex_;
   bool stopping_ = false;
   std::vector<Socket> sockets_;
-  std::vector<std::thread> threads_;
+  std::list<std::thread> threads_;
+  std::vector<std::thread::id> ended_;  // of these, not joined yet
   std::thread accepting_;
 };
 
