--- a/tools/standin/threaded_server.cpp
+++ b/tools/standin/threaded_server.cpp
@@ -24,8 +24,8 @@
     if (error || stopping_) return;
     socket->set_option(tcp::no_delay(true), error);
     sockets_.push_back(socket);
-    // Guards the address space: a thread that has ended keeps its stack until it is joined, and a release over
-    // 300 relays makes tens of thousands of connections.
+    // Guards the address space: a thread that has ended keeps its stack until it is joined, and a release
+    // over 300 relays makes tens of thousands of connections.
     for (const std::thread::id ended : std::exchange(ended_, {})) {
       const auto it = std::find_if(threads_.begin(), threads_.end(),
                                    [ended](const std::thread& each) { return each.get_id() == ended; });
