Replication: tests of the rule for records that differ, placement, and a copy's catch-up

Change: properties over drawn orders, repeats and parts (copies that heard the same agree, and two that heard parts agree once they have told each other), placement over zones and with one peer gone, catch-up by the ranges whose digests differ. Not connected to serve.

--- /dev/null
+++ b/tests/replica_test.cpp
@@ -0,0 +1,174 @@
+// Copies of messages: the rule for records that differ, which peers hold them, and a copy.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "copy.hpp"
+#include "placement.hpp"
+
+namespace fennellane::replica {
+namespace {
+
+Record record(StreamId stream, Version version, std::uint32_t attempts = 0, bool ended = false) {
+  Record r;
+  r.stream = stream;
+  r.version = version;
+  r.ended = ended;
+  r.entry.attempts = attempts;
+  return r;
+}
+Record with_body(Record r) {
+  r.entry.body = std::make_shared<const std::string>("body");
+  r.has_body = true;
+  return r;
+}
+// What of a record matters to whoever takes over.
+auto seen(const Record& r) {
+  return r.ended ? std::tuple(true, Version{}, 0u, false)
+                 : std::tuple(false, r.version, r.entry.attempts, r.has_body);
+}
+
+TEST(Join, AnEndIsFinalAndTheNewerSaysWhatIsSo) {
+  Record known = with_body(record(1, {2, 5}, 1));
+  EXPECT_FALSE(join(known, record(1, {2, 4}, 7)));
+  EXPECT_FALSE(join(known, record(1, {1, 9}, 7)));
+  EXPECT_EQ(known.entry.attempts, 1u);
+  EXPECT_TRUE(join(known, record(1, {3, 1}, 2)));
+  EXPECT_EQ(known.entry.attempts, 2u);
+  EXPECT_TRUE(known.has_body);
+  EXPECT_TRUE(join(known, record(1, {1, 1}, 0, true)));  // told late, by an old owner
+  EXPECT_TRUE(known.ended);
+  EXPECT_FALSE(join(known, with_body(record(1, {9, 9}, 3))));
+  EXPECT_FALSE(taken_over(known));
+}
+
+TEST(Join, ABodyIsKeptWhicheverComesFirst) {
+  Record known = record(1, {1, 2}, 1);
+  EXPECT_FALSE(taken_over(known));
+  EXPECT_TRUE(join(known, with_body(record(1, {1, 1}))));
+  ASSERT_TRUE(taken_over(known));
+  EXPECT_EQ(taken_over(known)->attempts, 1u);
+}
+
+RC_GTEST_PROP(JoinProperty, CopiesThatHeardTheSameAgree, ()) {
+  // Records as owners write them: one content for each version, a body with the first of an epoch.
+  std::vector<Record> told;
+  const int count = *rc::gen::inRange(1, 8);
+  std::set<Version> versions;
+  for (int i = 0; i < count; ++i) {
+    const Version v{*rc::gen::inRange<Token>(1, 4), *rc::gen::inRange<Sequence>(1, 5)};
+    if (!versions.insert(v).second) continue;
+    Record r = record(1, v, *rc::gen::inRange(0u, 5u), *rc::gen::inRange(0, 6) == 0);
+    if (!r.ended && v.sequence == 1) r = with_body(r);
+    told.push_back(r);
+  }
+  const auto heard = [&told](bool twice) {
+    std::vector<std::size_t> order;
+    for (std::size_t i = 0; i < told.size(); ++i)
+      for (int n = 0; n < (twice ? 2 : 1); ++n) order.push_back(i);
+    for (std::size_t i = order.size(); i > 1; --i)
+      std::swap(order[i - 1], order[*rc::gen::inRange<std::size_t>(0, i)]);
+    Record known = told[order[0]];
+    for (const std::size_t i : order) join(known, told[i]);
+    return known;
+  };
+  const Record one = heard(false), other = heard(true);
+  RC_ASSERT(seen(one) == seen(other));
+  // Two copies that each heard a part agree once they have told each other.
+  Record left = told.front(), right = told.back();
+  for (const Record& r : told) join(*rc::gen::inRange(0, 2) == 0 ? left : right, r);
+  const Record before = left;
+  join(left, right);
+  join(right, before);
+  RC_ASSERT(seen(left) == seen(right));
+  RC_ASSERT(seen(left) == seen(one));
+}
+
+TEST(Placement, TakesOtherZonesFirstAndMovesLittle) {
+  std::vector<Peer> all;
+  for (int i = 0; i < 30; ++i)
+    all.push_back({"r" + std::to_string(i), std::string(1, static_cast<char>('a' + i % 3)), ""});
+  std::map<std::string, std::vector<Peer>> before;
+  std::map<std::string, int> load;
+  for (const Peer& p : all) {
+    before[p.relay] = holders_for(p.relay, p.zone, all, 2);
+    ASSERT_EQ(before[p.relay].size(), 2u);
+    std::set<std::string> zones{p.zone};
+    for (const Peer& holder : before[p.relay]) {
+      EXPECT_NE(holder.relay, p.relay);
+      EXPECT_TRUE(zones.insert(holder.zone).second);
+      ++load[holder.relay];
+    }
+  }
+  for (const auto& [relay, copies] : load) EXPECT_LE(copies, 9) << relay;
+  // One that goes takes only its own copies along.
+  const std::string gone = "r7";
+  std::vector<Peer> rest = all;
+  std::erase_if(rest, [&gone](const Peer& p) { return p.relay == gone; });
+  for (const Peer& p : rest) {
+    const auto after = holders_for(p.relay, p.zone, rest, 2);
+    const bool held = std::any_of(before[p.relay].begin(), before[p.relay].end(),
+                                  [&gone](const Peer& holder) { return holder.relay == gone; });
+    if (!held) {
+      EXPECT_EQ(after, before[p.relay]) << p.relay;
+    }
+  }
+  EXPECT_EQ(holders_for("r0", "a", {{"r0", "a", ""}}, 2).size(), 0u);
+  EXPECT_EQ(holders_for("r0", "", {{"r1", "", ""}, {"r2", "", ""}}, 2).size(), 2u);
+  EXPECT_EQ(holders_for("r0", "a", {{"r1", "a", ""}}, 1).size(), 1u);  // better than none
+}
+
+TEST(Copy, TakesWhatIsNewAndForgetsWhatHasEnded) {
+  Copy copy;
+  EXPECT_TRUE(copy.take(Records{{1, 2}, {with_body(record(1, {1, 1})), with_body(record(2, {1, 2}))}, 1}));
+  EXPECT_EQ(copy.held().size(), 2u);
+  EXPECT_EQ(copy.bytes(), 2 * (kStreamBytes + 4));
+  EXPECT_TRUE(copy.take(Records{{1, 3}, {record(1, {1, 3}, 0, true)}, 2}));
+  // The same once more: an end that is forgotten does not come back to life.
+  EXPECT_TRUE(copy.take(Records{{1, 2}, {with_body(record(1, {1, 1}))}, 3}));
+  EXPECT_EQ(copy.held().count(1), 0u);
+  EXPECT_EQ(copy.position(), (Version{1, 3}));
+  EXPECT_TRUE(copy.take(Records{{2, 1}, {}, 1}));
+  EXPECT_FALSE(copy.take(Records{{1, 9}, {with_body(record(5, {1, 9}))}, 4}));  // of an old owner
+  EXPECT_EQ(copy.held().count(5), 0u);
+}
+
+RC_GTEST_PROP(CopyProperty, CatchesUpByTheRangesThatDiffer, ()) {
+  std::map<StreamId, Record> owner;
+  Copy copy;
+  Records first{{1, 500}, {}, 1};
+  for (StreamId stream = 1; stream <= 300; ++stream) {
+    const int fate = *rc::gen::inRange(0, 12);
+    const Record old = with_body(record(stream, {1, stream}));
+    if (fate != 0) first.records.push_back(old);  // else the copy has never heard of it
+    // Since then the owner has begun anew; some have ended, and some have gone on.
+    if (fate == 1) continue;
+    owner[stream] = with_body(record(stream, {2, stream}, fate == 2 ? 3 : 0));
+  }
+  RC_ASSERT(copy.take(first));
+  const Digests wanted = digests_of(owner), found = copy.digests();
+  std::size_t sent = 0;
+  for (std::uint32_t range = 0; range < kRanges; ++range) {
+    if (wanted[range] == found[range]) continue;
+    Range whole{range, {}};
+    for (const auto& [stream, r] : owner)
+      if (range_of(stream) == range) whole.records.push_back(r);
+    sent += whole.records.size();
+    RC_ASSERT(copy.take(whole, {2, 1000}));
+  }
+  RC_ASSERT(copy.digests() == wanted);
+  RC_ASSERT(copy.held().size() == owner.size());
+  std::size_t bytes = 0;
+  for (const auto& [stream, r] : copy.held()) {
+    RC_ASSERT(r.entry.attempts == owner.at(stream).entry.attempts);
+    bytes += kStreamBytes + 4;
+  }
+  RC_ASSERT(copy.bytes() == bytes);
+  RC_ASSERT(sent <= owner.size());
+}
+
+}  // namespace
+}  // namespace fennellane::replica
