Tests of a slot keep the effects that they look into

Cause: find returns a pointer into the effects, and two tests gave it a temporary; the plain run read freed memory that still stood, and the sanitized one ended there (heap-use-after-free at tests/drain_test.cpp:80). Change: the effects are kept in the fixture.

--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -75,7 +75,7 @@
 
 TEST_F(SlotTest, TakesAFreeSlotGoesOutAndGivesItBack) {
   contend();
-  const auto* take = find<TakeSlot>(sees(seconds(1), std::nullopt, 0));
+  const auto* take = find<TakeSlot>(last = sees(seconds(1), std::nullopt, 0));
   ASSERT_NE(take, nullptr);
   EXPECT_EQ(take->index, 0u);
   EXPECT_EQ(take->next, (Budget{{1, 0, 0}, {{"s1", "r1", "a"}}}));
@@ -98,7 +98,7 @@
   EXPECT_EQ(slot.waits_for(), "1 of 1 are out: r9");
   EXPECT_EQ(find<TakeSlot>(slot.handle(seconds(2), TimeDue{})), nullptr);
   // The holder's session is over: its key is gone, though its name still stands in the list.
-  const auto* take = find<TakeSlot>(sees(seconds(3), full, 7));
+  const auto* take = find<TakeSlot>(last = sees(seconds(3), full, 7));
   ASSERT_NE(take, nullptr);
   EXPECT_EQ(take->index, 7u);
   EXPECT_EQ(take->next.holders.size(), 1u);
