The lab keeps each relay's port for it while it is down

Cause: a relay's port was picked by binding and closing, so before its start and while it was down another relay of the lab or a connection could get it.

--- a/tools/standin/relay_process.cpp
+++ b/tools/standin/relay_process.cpp
@@ -1,10 +1,13 @@
 #include "relay_process.hpp"
 
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
@@ -38,13 +41,24 @@
   if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder for the relay");
   folder_ = name;
   fs::create_directory(state_folder());
-  asio::io_context io;
-  tcp::acceptor free(io, {asio::ip::make_address(host_), 0});
-  port_ = free.local_endpoint().port();
+  // Guards the port against being given to another relay, or to a connection, before this one has it and
+  // while it is down: a bound socket that does not listen keeps it from all that do not name it.
+  reserved_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  socklen_t size = sizeof address;
+  auto* const any = reinterpret_cast<sockaddr*>(&address);
+  if (reserved_ < 0 || ::inet_pton(AF_INET, host_.c_str(), &address.sin_addr) != 1 ||
+      ::setsockopt(reserved_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+      ::bind(reserved_, any, size) != 0 || ::getsockname(reserved_, any, &size) != 0)
+    throw std::runtime_error("no port for the relay at " + host_);
+  port_ = ntohs(address.sin_port);
 }
 
 RelayProcess::~RelayProcess() {
   if (pid_ > 0) end(SIGKILL);
+  ::close(reserved_);
   std::error_code ignored;
   fs::remove_all(folder_, ignored);
 }
--- a/tools/standin/relay_process.hpp
+++ b/tools/standin/relay_process.hpp
@@ -19,8 +19,7 @@
 
 class RelayProcess {
  public:
-  // Listens at a free port of `host`, the same in each of its lives. While it is down any process may get
-  // that port, so where several run tests at once each has an address of 127.0.0.0/8 for itself.
+  // Listens at a port of `host`, the same in each of its lives and kept for it while it is down.
   explicit RelayProcess(std::string program, std::string host = "127.0.0.1");
   ~RelayProcess();
   RelayProcess(const RelayProcess&) = delete;
@@ -66,6 +65,7 @@
   const std::string program_, host_;
   std::vector<std::string> variables_;
   std::string folder_;
+  int reserved_ = -1;  // a socket that keeps the port
   std::uint16_t port_ = 0;
   pid_t pid_ = 0;
 };
