Rare faults: late answers, silent notices, discovery within 6 s, the fleet's cold budget

Ruled out: notices on the way (the slowest took 11 ms), cut first lines, messages without an end after the kill.

Lines at fault and their mends: - Reducer::on(CallEnded) took any 200 for the end, and Relay::restore read the clock once for all messages, so the later ones got up to 2 ms more than they had. A 200 within 20 ms of the deadline now ends with a notice as well, which does no harm where the message is over, and the clock is read for each message. - RetryPause for discovery grew to 12 s, behind steps of up to 4.5 s: a change could be heard 16 s after discovery could be reached. Steps are 1.5 s (a silent watch 3.2 s) and the pause 3 s at most. - Notices::deliver waited 2 s on a connection that had fallen silent, when the end is overdue after 0.3 s: 100 ms, longer after each try that failed and as long as the platform needs. - Forwarder::Policy::draw_trial took the outage to have begun with its own first failure: with 300 forwarders and a small destination the trials' sum went over N + 2 x root of N + 2 by up to 24 calls, with 30 by 1.

--- a/include/starlinghook/delivery.hpp
+++ b/include/starlinghook/delivery.hpp
@@ -113,6 +113,8 @@
   bool may_have_run = false;
   Time doubt_age{};  // since the first attempt that may have run was sent
   std::uint32_t doubt_zone = 0;
+  // Others that are held as well are told right after it: nothing is sent, or given up, before all are known.
+  bool more_follow = false;
 };
 struct MessageDropped {
   MessageId id = 0;
@@ -162,11 +164,12 @@
   MessageId id = 0;
   EndpointId endpoint = 0;
   Time timeout{};
-  Time most_idle = Time::max();  // a connection that has stood idle for longer is not used
+  Time most_idle = Time::max();     // a connection that has stood idle for longer is not used
+  Time begin_within = Time::max();  // the call's first byte is written by then, or none is
 };
 // Why a message is given up: to make room for others, since no call would end in time, after its last
-// attempt, or since one may have run and none may follow.
-enum class Why { none, room, time, attempts, doubt };
+// attempt, since one may have run and none may follow, or since it was answered when its time was up.
+enum class Why { none, room, time, attempts, doubt, answered_late };
 struct Refuse {  // undelivered, may safely come again
   MessageId id = 0;
   Time return_after{};
--- a/src/consul/consul_watch.cpp
+++ b/src/consul/consul_watch.cpp
@@ -107,13 +107,13 @@
   const WatchQuery query = plan_.next();
   ++counters_.consul_queries;
   if (!client_.open()) {
-    const bool connected = co_await client_.connect(limits_.discovery_answer);
+    const bool connected = co_await client_.connect(limits_.agent_answer);
     if (!connected) co_return fail("cannot connect to " + settings_.agent.text());
   }
-  const bool sent = co_await client_.send(request(query), limits_.discovery_answer);
+  const bool sent = co_await client_.send(request(query), limits_.agent_answer);
   if (!sent) co_return fail("the connection has ended");
   // An agent adds up to a 16th to the time it was asked to wait.
-  Time silence = limits_.discovery_answer;
+  Time silence = limits_.agent_answer;
   if (query.index > 0) silence += query.wait + query.wait / 16;
   bool good = co_await client_.read(silence);
   const auto end = steady_clock::now() + settings_.answer;
--- a/src/consul/registration.cpp
+++ b/src/consul/registration.cpp
@@ -63,13 +63,12 @@
 
 asio::awaitable<unsigned> Registration::put(std::string target, std::string body) {
   if (!client_.open()) {
-    const bool connected = co_await client_.connect(limits_.notice_answer);
+    const bool connected = co_await client_.connect(limits_.agent_write);
     if (!connected) co_return 0;
   }
-  const bool sent =
-      co_await client_.send(agent_request(settings_, "PUT", target, body), limits_.notice_answer);
+  const bool sent = co_await client_.send(agent_request(settings_, "PUT", target, body), limits_.agent_write);
   bool answered = false;
-  if (sent) answered = co_await client_.read_answer(limits_.notice_answer);
+  if (sent) answered = co_await client_.read_answer(limits_.agent_write);
   const unsigned status = answered ? client_.answer().status() : 0;
   client_.answer().take_body();
   if (status != 200) client_.close();
--- a/src/core/limits.hpp
+++ b/src/core/limits.hpp
@@ -55,20 +55,30 @@
   Time linger = std::chrono::seconds(2);          // of a closing connection, so that its answer is read
   Time connect{};
   Time upstream_idle{};
-  Time answer_rest = std::chrono::seconds(1);    // from a host's answer's first byte to its last
-  Time refused_again = std::chrono::seconds(1);  // advice with 503, where the settings allow any
+  Time answer_margin = std::chrono::milliseconds(20);  // a delivery so close to its deadline may be too late
+  Time answer_rest = std::chrono::seconds(1);          // from a host's answer's first byte to its last
+  Time refused_again = std::chrono::seconds(1);        // advice with 503, where the settings allow any
   Time accept_backoff = std::chrono::milliseconds(10);
-  Time notice_answer = std::chrono::seconds(2);
-  Time discovery_answer = std::chrono::seconds(3);
-  // An empty line comes every 2 s. Guards against a dead watch holding a drain back: it counts as told after
-  // 6 s.
-  Time discovery_silence = std::chrono::milliseconds(4500);
+  // For the platform's answer to a notice. It answers at once, so a connection that says nothing for the
+  // least time is taken for broken and replaced, before the end that it was to tell is overdue; a platform
+  // that is slow is given up to the most.
+  Time notice_answer_least = std::chrono::milliseconds(100);
+  Time notice_answer_most = std::chrono::seconds(2);
+  Time agent_write = std::chrono::seconds(2);   // Consul's agent's answer to a write
+  Time agent_answer = std::chrono::seconds(3);  // and to a question
+  // A change counts as told 6 s after discovery had it and could be reached, whatever call failed before. So
+  // the longest step that may have begun just before that (a connect, an answer, a silence), the longest
+  // pause behind it and a call that succeeds take less together.
+  Time discovery_connect = std::chrono::milliseconds(1500);
+  Time discovery_answer = std::chrono::milliseconds(1500);   // between two pieces of an answer
+  Time discovery_list = std::chrono::seconds(3);             // a whole list, from first to last byte
+  Time discovery_silence = std::chrono::milliseconds(3200);  // an empty line comes every 2 s
   Time backoff_least = std::chrono::milliseconds(50);
   Time backoff_most = std::chrono::seconds(1);
-  // Between tries at discovery. Guards it, where it is short of room, against many relays asking it so often
-  // that it answers none.
-  Time discovery_backoff_least = std::chrono::milliseconds(500);
-  Time discovery_backoff_most = std::chrono::seconds(8);
+  // Between tries at discovery, from half to one and a half of it. Guards it, where it is short of room,
+  // against many relays asking it so often that it answers none.
+  Time discovery_backoff_least = std::chrono::milliseconds(400);
+  Time discovery_backoff_most = std::chrono::seconds(2);
   Time lock_wait = std::chrono::seconds(2);  // for a process before this one to let go of the state folder
   Time loop_look = std::chrono::milliseconds(50);  // at how late the loop runs
   Time loop_beat = std::chrono::seconds(1);        // and how often that is noted
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -72,6 +72,7 @@
   ++counters_.taken;
   const StreamId id = next_++;
   Stream& stream = add(id, o.id, o.body);
+  stream.deadline = now_ + o.time_left;
   if (o.message_class < aims_.size()) stream.late_at = now_ + aims_[o.message_class];
   JournalEntry entry;
   entry.id = o.id;
@@ -95,6 +96,7 @@
   const JournalEntry& e = r.entry;
   Stream& stream = add(r.stream, e.id, e.body);
   stream.attempts = e.attempts;
+  stream.deadline = now_ + r.time_left;
   if (e.verdict) {
     // Guards against sending a message again that was ended before the crash: only its notice is owed.
     stream.given_up = true;
@@ -118,6 +120,7 @@
   arrived.may_have_run = e.out || e.may_have_run;
   arrived.doubt_age = e.may_have_run ? r.doubt_age : r.out_age;
   arrived.doubt_zone = e.may_have_run ? e.doubt_zone : e.out_zone;
+  arrived.more_follow = r.more_follow;
   decide(arrived);
 }
 
@@ -135,13 +138,17 @@
   ended.attempt = c.attempt;
   ended.endpoint = stream.host;
   ended.outcome = c.outcome;
+  const bool too_late = answered_too_late(stream, c);
   ended.finished = c.over || c.outcome == Outcome::delivered;
   ended.told_wait = c.told_wait;
   ended.no_slot = c.no_slot;
   ended.report = c.report;
   ended.connection_only = c.connection_only;
   ended.idle = c.idle;
-  if (ended.finished) {
+  if (too_late) {
+    ++counters_.undeliverable;
+    give_up(c.stream, Verdict::undeliverable, Time(0), starlinghook::Why::answered_late);
+  } else if (ended.finished) {
     ++(c.outcome == Outcome::delivered ? counters_.delivered : counters_.withdrawn);
     counters_.late += c.outcome == Outcome::delivered && now_ > stream.late_at ? 1 : 0;
     end(it);
@@ -158,6 +165,13 @@
   forget(called);
 }
 
+// A 200 that was written when the message's time was up delivers nothing, and the platform still waits for
+// the end. This relay's deadline and the client's differ by what the request took to be read, so an answer
+// within that margin may be either: the notice is posted, and does no harm to a message that is already over.
+bool Reducer::answered_too_late(const Stream& stream, const CallEnded& call) const {
+  return call.outcome == Outcome::delivered && now_ + limits_.answer_margin >= stream.deadline;
+}
+
 // Guards against a call that was decided on before a wait or a drain was told and is sent after it: a new
 // connection may take long to come up.
 template <class Concerned>
@@ -307,7 +321,8 @@
   const std::uint32_t attempt = stream.attempts++;
   ++counters_.sent;
   effect(RecordAttempt{a.id, host.zone});
-  effect(StartCall{a.id, attempt, a.endpoint, host.address, stream.id, stream.body, a.timeout, a.most_idle});
+  effect(StartCall{a.id, attempt, a.endpoint, host.address, stream.id, stream.body, a.timeout, a.most_idle,
+                   a.begin_within});
 }
 
 void Reducer::give_up(StreamId stream, Verdict verdict, Time again, starlinghook::Why why) {
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -45,6 +45,7 @@
   Time time_left{};
   Time out_age{};  // since the attempt that was out started, and since the first that may have run
   Time doubt_age{};
+  bool more_follow = false;  // another one comes right after it
 };
 struct CallEnded {
   StreamId stream = 0;
@@ -116,7 +117,8 @@
   std::string id;
   Body body;
   Time timeout{};
-  Time most_idle = Time::max();  // over a connection that has stood idle for no longer
+  Time most_idle = Time::max();     // over a connection that has stood idle for no longer
+  Time begin_within = Time::max();  // until the call's first byte is written; else it could not connect
 };
 struct CancelCall {
   StreamId stream = 0;
@@ -187,6 +189,7 @@
     bool out = false;
     bool given_up = false;
     Time late_at = Time::max();  // its aim is over; not known of one from an earlier life
+    Time deadline{};
     template <class Archive>
     void serialize(Archive& archive);
   };
@@ -224,6 +227,7 @@
 
   Stream& add(StreamId id, std::string text, Body body);
   void give_up(StreamId stream, Verdict verdict, Time again, starlinghook::Why why);
+  bool answered_too_late(const Stream& stream, const CallEnded& call) const;
   template <class Concerned>
   void hold_back(Concerned concerned);
   void end(std::map<StreamId, Stream>::iterator it);
--- a/src/core/reducer_memory.cpp
+++ b/src/core/reducer_memory.cpp
@@ -7,13 +7,13 @@
 namespace fennellane {
 namespace {
 
-constexpr std::uint32_t kMemoryVersion = 5;
+constexpr std::uint32_t kMemoryVersion = 6;
 
 }  // namespace
 
 template <class Archive>
 void Reducer::Stream::serialize(Archive& archive) {
-  archive(id, attempts, host, out, given_up, late_at);
+  archive(id, attempts, host, out, given_up, late_at, deadline);
 }
 
 template <class Archive>
--- a/src/delivery_memory.hpp
+++ b/src/delivery_memory.hpp
@@ -18,7 +18,7 @@
 namespace starlinghook {
 
 // Raised with each change of what is listed below: another version's bytes are not read.
-constexpr std::uint32_t kMemoryVersion = 3;
+constexpr std::uint32_t kMemoryVersion = 4;
 
 template <class A>
 void serialize(A& a, EndpointEntry& e) {
@@ -35,7 +35,7 @@
 template <class A>
 void serialize(A& a, Health& h) {
   a(h.fail_run, h.full_run, h.full_since, h.fail_share, h.doubt_share, h.sick, h.earned, h.rest_until,
-    h.last_ok, h.ok_since, h.failing_since, h.last_trial, h.trial_gap, h.sends);
+    h.last_ok, h.ok_since, h.failing_since, h.last_trial, h.trial_turns, h.sends);
 }
 template <class A>
 void serialize(A& a, Route& r) {
--- a/src/delivery_policy.cpp
+++ b/src/delivery_policy.cpp
@@ -1,5 +1,4 @@
-// Every decision of starlinghook. The types, events and actions are in include/starlinghook/delivery.hpp.
-// The ordinary path is told in docs/design.md; all that goes beyond it is marked where it stands.
+// Every decision of the module. docs/design.md tells the ordinary path; what goes beyond it is marked here.
 #include <algorithm>
 #include <array>
 #include <bit>
@@ -48,6 +47,7 @@
 constexpr double kRoughRate = 1.5;                  // a rough rate may be this many times too high
 constexpr double kRoomReserve = 0.1;                // share of the holding room kept free for what comes next
 constexpr double kLargestPart = 0.66;  // of a cold destination's budget that one forwarder earns at most
+constexpr double kUnseenSpreads = 5;   // an outage may hold so many spreads more messages than the rate tells
 constexpr double kCrowdRate = 0.1;  // many share a limit when their even part is under so many calls a second
 constexpr double kFullLoad = 0.8;   // all traffic is taken to be this share of all listed rates
 constexpr int kIdlePart = 4;        // connections are kept for this part of the idle time that failed
@@ -66,9 +66,7 @@
 constexpr Time kNever = Time::max(), kLongAgo = Time::min() / 2;
 
 double seconds(Time t) { return std::chrono::duration<double>(t).count(); }
-Time from_seconds(double s) {
-  return Time(static_cast<Time::rep>(std::llround(std::clamp(s, 0.0, 1e9) * 1e6)));
-}
+Time from_seconds(double s) { return Time(std::llround(std::clamp(s, 0.0, 1e9) * 1e6)); }
 std::size_t share_of(std::size_t slots, double share) {
   return std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(slots) * share));
 }
@@ -86,7 +84,7 @@
   std::optional<Time> ok_since;  // first success after the last failure; starts the cold time
   Time failing_since{};
   Time last_trial = kLongAgo;  // where many share the cold budget
-  Time trial_gap{};            // to the next, for one waiting message
+  double trial_turns = 0;      // of others before the next, for one waiting message
   std::vector<Time> sends;     // calls of the last overload_time
 };
 
@@ -195,7 +193,8 @@
     out_ = &out;
     std::visit([this](const auto& e) { on(e); }, event);
     forget();
-    dispatch();
+    const auto* const arrived = std::get_if<MessageArrived>(&event);
+    if (!arrived || !arrived->more_follow) dispatch();
     set_timer();
   }
 
@@ -647,15 +646,19 @@
     return s_.overload_factor * capacity * seconds(s_.overload_time);
   }
   // Where one call of each forwarder is too much, trials come at random times, so seldom that all that may
-  // have messages waiting by now, one for each call that the rate allowed since, keep the budget together.
+  // have messages waiting keep the budget together: one for each call that the rate allowed since, and more
+  // where messages come in clumps or the outage began before this forwarder saw it.
   void draw_trial(Health& h, double rate) {
-    const double all = s_.forwarders, outage = seconds(std::max(s_.overload_time, now_ - h.failing_since));
-    // Without a rate, that of the destination cancels out: what waits by now came at its own rate at most.
-    const double budget = cold_budget(h, rate > 0 ? rate : 1) * kLargestPart;
-    const double contenders = rate > 0 ? std::clamp(rate * outage, 1.0, all) : outage;
-    const double least = rate > 0 ? 1.0 : 0.0;
+    const double outage = seconds(std::max(s_.overload_time, now_ - h.failing_since));
+    const double allowed = rate * outage, waiting = allowed + kUnseenSpreads * std::sqrt(allowed);
     h.last_trial = now_;
-    h.trial_gap = some_of(from_seconds(seconds(s_.overload_time) * contenders / std::max(least, budget)));
+    h.trial_turns = (0.5 + draw()) * (rate > 0 ? std::clamp(waiting, 1.0, 1.0 * s_.forwarders) : outage);
+  }
+  Time next_trial(const Health& h, double rate, std::size_t waiting) const {
+    const double budget = cold_budget(h, rate > 0 ? rate : 1) * kLargestPart + (rate > 0 ? 1 : 0);
+    const double turns =
+        h.trial_turns / (rate > 0 ? 1 : static_cast<double>(std::max<std::size_t>(1, waiting)));
+    return h.last_trial + from_seconds(seconds(s_.overload_time) * turns / budget);
   }
 
   // Slow start after an outage: this forwarder's part of what the destination can take now. The first success
@@ -668,12 +671,8 @@
     std::erase_if(h.sends, [this](Time t) { return t + s_.overload_time <= now_; });
     if (!h.sick) return now_;
     const double whole = cold_budget(h, rate);
-    if (whole < s_.forwarders && s_.forwarders > 1) {
-      const auto sharing = static_cast<Time::rep>(rate > 0 ? 1 : std::max<std::size_t>(1, waiting));
-      return std::max(now_, h.last_trial + h.trial_gap / sharing);
-    }
-    const double even = whole / static_cast<double>(s_.forwarders);
-    const double budget = std::max(even, std::min(even + h.earned, whole * kLargestPart));
+    if (whole < s_.forwarders && s_.forwarders > 1) return std::max(now_, next_trial(h, rate, waiting));
+    const double budget = std::max(whole * even(), std::min(whole * even() + h.earned, whole * kLargestPart));
     if (static_cast<double>(h.sends.size()) + 1 <= std::max(1.0, budget)) return now_;
     return h.sends.front() + s_.overload_time;
   }
@@ -721,11 +720,10 @@
     }
     if (m->may_have_run) {
       if (m->rules->effect == Effect::unsafe) return kNever;
-      if (m->rules->effect == Effect::keyed) {
-        if (m->rules->key_scope == KeyScope::zone && e.entry.zone != m->doubt_zone) return kNever;
-        if (open > m->doubt_since + m->rules->window) return kNever;
-      }
+      const bool scoped = m->rules->effect == Effect::keyed && m->rules->key_scope == KeyScope::zone;
+      if (scoped && e.entry.zone != m->doubt_zone) return kNever;
     }
+    if (open > last_begin(*m)) return kNever;
     // A message that cannot be repeated is kept back while calls here may fail with their effect unknown.
     const double doubt = std::max(e.health.doubt_share, r.health.doubt_share);
     if (m->rules->effect == Effect::unsafe && (doubt >= kDoubtHeld || stalled(e))) {
@@ -905,7 +903,7 @@
     m.call = call->first;
     m.sent_at = now_;
     ++m.attempts;
-    act(Send{m.facts.id, e.entry.endpoint, attempt_timeout(r, m), most_idle()});
+    act(Send{m.facts.id, e.entry.endpoint, attempt_timeout(r, m), most_idle(), last_begin(m) - now_});
   }
 
   // A waiting message that no endpoint can take in the time left gets its answer at once. Guards the time
@@ -964,6 +962,11 @@
     }
   }
 
+  // A repeat is dropped only for so long, so it begins within that time, however long its connection takes.
+  Time last_begin(const Message& m) const {
+    const bool guarded = m.may_have_run && m.rules->effect == Effect::keyed;
+    return guarded ? std::min(m.deadline, m.doubt_since + m.rules->window) : m.deadline;
+  }
   Time give_up_at(const Destination& d, const Message& m) const {
     const Time last = last_send(d, m);
     return std::max(now_, m.not_before) >= last ? now_ : last;
@@ -971,10 +974,7 @@
   Time last_send(const Destination& d, const Message& m) const {
     if (m.attempts >= s_.max_attempts) return now_;
     if (m.may_have_run && m.rules->effect == Effect::unsafe) return now_;
-    Time last = m.deadline;
-    if (m.may_have_run && m.rules->effect == Effect::keyed) {
-      last = std::min(last, m.doubt_since + m.rules->window);
-    }
+    Time last = last_begin(m);
     Time call = kNever, wait = kNever;
     for (EndpointId id : d.endpoints) {
       const Endpoint& e = endpoints_.at(id);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -92,9 +92,14 @@
   co_return good;
 }
 
-asio::awaitable<bool> Client::read_answer(Time limit) {
+asio::awaitable<bool> Client::read_answer(Time limit) { return read_answer(limit, limit); }
+
+asio::awaitable<bool> Client::read_answer(Time piece, Time whole) {
+  const auto end = std::chrono::steady_clock::now() + whole;
   while (!answer_.done()) {
-    const bool good = co_await read(limit);
+    // Guards against an answer that comes byte by byte and never to its end.
+    const auto left = std::chrono::duration_cast<Time>(end - std::chrono::steady_clock::now());
+    const bool good = co_await read(std::clamp(left, Time(0), piece));
     if (!good) co_return false;
   }
   if (!answer_.keep_alive()) close();
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -34,8 +34,10 @@
   asio::awaitable<bool> send(std::string text, Time limit);
   // Reads on; false when the connection has ended or the answer cannot be read.
   asio::awaitable<bool> read(Time limit);
-  // Reads one whole answer.
+  // Reads one whole answer, to its end within the limit.
   asio::awaitable<bool> read_answer(Time limit);
+  // Likewise, with a shorter limit for each piece of it.
+  asio::awaitable<bool> read_answer(Time piece, Time whole);
   // From now on another address: the connection to the old one ends at once, and what was awaited on it
   // fails.
   void redirect(const Address& address);
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -128,7 +128,7 @@
                   errno != EINPROGRESS)) {
       return later(Due::connect_failed);
     }
-    arm(std::min(pool_.config_.limits.connect, call_.timeout));
+    arm(std::min({pool_.config_.limits.connect, call_.timeout, call_.begin_within}));
     await_connected();
   }
 
@@ -142,8 +142,8 @@
     if (Archive::is_loading::value) timer_.expires_at(expiry);
     if (!busy_) return;
     // All of the call but its body: that is in the ring, or gone out.
-    archive(call_.stream, call_.attempt, call_.address, call_.id, call_.timeout, deadline_, started_,
-            written_, answering_, interim_, due_, in_, out_);
+    archive(call_.stream, call_.attempt, call_.address, call_.id, call_.timeout, deadline_, begin_by_,
+            started_, written_, answering_, interim_, due_, in_, out_);
     answer_.remember(archive);
   }
   void adopt_socket(FileDescriptor fd) { adopt(socket_, std::move(fd)); }
@@ -215,6 +215,7 @@
     answer_.reset();
     out_.clear();
     deadline_ = std::chrono::steady_clock::now() + std::max(call_.timeout, Time(1000));
+    begin_by_ = call_.begin_within == Time::max() ? Time::max() : steady_now() + call_.begin_within;
     const auto budget = std::max<Time::rep>(1, call_.timeout.count() / 1000);
     std::string head = "POST /hook HTTP/1.1\r\nHost: " + call_.address.text() + "\r\nX-Call-Id: " + call_.id +
                        "\r\nX-Budget-Ms: " + std::to_string(budget) +
@@ -265,6 +266,8 @@
           failure != 0) {
         return self->end(Outcome::connect_failed);
       }
+      // Guards the window in which repeats are dropped against a connection that comes up behind its end.
+      if (steady_now() > self->begin_by_) return self->end(Outcome::connect_failed);
       self->up_ = true;
       self->socket_.set_option(tcp::no_delay(true), e);
       self->arm_at(self->deadline_);
@@ -405,6 +408,7 @@
   HttpReader answer_;
   StartCall call_;
   asio::steady_timer::time_point deadline_;
+  Time begin_by_ = Time::max();  // the call's first byte
   Time idle_since_{};
   Time idle_{};      // before the call; 0 = it came up for it
   bool up_ = false;  // it did come up
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -28,10 +28,16 @@
 constexpr int kBadConfig = 2;
 
 using fennellane::record::Fate;
-const std::map<std::string, Fate> kEndings = {
-    {"in-time", Fate::in_time},         {"late", Fate::late},      {"withdrawn", Fate::withdrawn},
-    {"refused", Fate::refused_at_door}, {"room", Fate::made_room}, {"time", Fate::no_time},
-    {"attempts", Fate::no_attempt},     {"doubt", Fate::doubtful}, {"held", Fate::held}};
+const std::map<std::string, Fate> kEndings = {{"in-time", Fate::in_time},
+                                              {"late", Fate::late},
+                                              {"withdrawn", Fate::withdrawn},
+                                              {"refused", Fate::refused_at_door},
+                                              {"room", Fate::made_room},
+                                              {"time", Fate::no_time},
+                                              {"attempts", Fate::no_attempt},
+                                              {"doubt", Fate::doubtful},
+                                              {"answered-late", Fate::answered_late},
+                                              {"held", Fate::held}};
 
 // What a process does that was started to take over from another.
 class TakingOver : public fennellane::upgrade::Successor {
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -86,7 +86,7 @@
   const Limits& limits = config_.limits;
   const bool sent = co_await client_.send(request("/discovery/hosts"), limits.discovery_answer);
   if (!sent) co_return false;
-  const bool answered = co_await client_.read_answer(limits.discovery_answer);
+  const bool answered = co_await client_.read_answer(limits.discovery_answer, limits.discovery_list);
   if (!answered) co_return false;
   if (client_.answer().status() != 200) co_return false;
   co_return take(client_.answer().take_body());
@@ -100,7 +100,9 @@
   std::string text;
   bool any = false;
   while (!client_.answer().done()) {
-    const bool good = co_await client_.read(limits.discovery_silence);
+    // The beginning of the answer comes at once, or the connection is of no use.
+    const bool begun = client_.answer().head_done();
+    const bool good = co_await client_.read(begun ? limits.discovery_silence : limits.discovery_answer);
     if (!good) co_return any;
     if (client_.answer().head_done() && client_.answer().status() != 200) co_return false;
     if (client_.answer().head_done() && on_heard_ && !stopped_) on_heard_();
@@ -123,10 +125,10 @@
   while (!stopped_) {
     ++counters_.discovery_connects;
     redirected_ = false;
-    bool good = co_await client_.connect(limits.discovery_answer);
+    bool good = co_await client_.connect(limits.discovery_connect);
     if (good && !have_list_) {
       good = co_await fetch();
-      if (good && !client_.open()) good = co_await client_.connect(limits.discovery_answer);
+      if (good && !client_.open()) good = co_await client_.connect(limits.discovery_connect);
     }
     if (good) good = co_await watch();
     client_.close();
--- a/src/platform/notices.cpp
+++ b/src/platform/notices.cpp
@@ -31,7 +31,8 @@
       client_(io, address_, config.limits, config.limits.body),
       wake_(io),
       pause_(io),
-      retry_(config.limits.backoff_least, config.limits.backoff_most, config.seed) {}
+      retry_(config.limits.backoff_least, config.limits.backoff_most, config.seed),
+      answer_limit_(config.limits.notice_answer_least) {}
 
 void Notices::start() { asio::co_spawn(io_, run(), rethrow); }
 
@@ -60,16 +61,19 @@
   for (std::size_t i = 0; i < count; ++i) body += lines_[i].text;
   ++counters_.notice_tries;
   if (!client_.open()) {
-    const bool connected = co_await client_.connect(limits.notice_answer);
+    const bool connected = co_await client_.connect(answer_limit_);
     if (!connected) co_return 0;
   }
   std::string text = "POST /v1/notices HTTP/1.1\r\nHost: " + address_.text() +
                      "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
                      "\r\n\r\n" + body;
-  const bool sent = co_await client_.send(std::move(text), limits.notice_answer);
+  const auto begun = std::chrono::steady_clock::now();
+  const bool sent = co_await client_.send(std::move(text), answer_limit_);
   if (!sent) co_return 0;
-  const bool answered = co_await client_.read_answer(limits.notice_answer);
+  const bool answered = co_await client_.read_answer(answer_limit_);
   if (!answered) co_return 0;
+  const auto took = std::chrono::duration_cast<Time>(std::chrono::steady_clock::now() - begun);
+  answer_limit_ = std::clamp(took * 2, limits.notice_answer_least, limits.notice_answer_most);
   co_return client_.answer().status();
 }
 
@@ -98,6 +102,8 @@
       // Guards against one line that is never taken holding up all that follow.
       log_("notices", "the platform cannot read " + lines_.front().text);
     } else {
+      // Guards against a platform that is slow, not silent, never being waited for long enough.
+      if (status == 0) answer_limit_ = std::min(answer_limit_ * 2, limits.notice_answer_most);
       // Guards against a batch refused for one of its lines: they go one by one.
       if (status == 400) most = 1;
       client_.close();
--- a/src/platform/notices.hpp
+++ b/src/platform/notices.hpp
@@ -47,6 +47,7 @@
   asio::steady_timer wake_;   // something is owed
   asio::steady_timer pause_;  // after a try that failed
   RetryPause retry_;
+  Time answer_limit_;  // for each step of a try: longer after one that failed, as long as the platform needs
   std::deque<Line> lines_;
   bool redirected_ = false;  // since the newest try began
 };
--- a/src/record/account.cpp
+++ b/src/record/account.cpp
@@ -39,6 +39,8 @@
       return "given up after its last attempt";
     case Fate::doubtful:
       return "given up, as it may have run and must not be repeated";
+    case Fate::answered_late:
+      return "answered when its time was up";
     case Fate::lost_class:
       return "given up, as its class is no longer configured";
     case Fate::answered:
@@ -181,7 +183,7 @@
       Life& life = by_stream(e);
       life.given_up = e.at;
       life.verdict = static_cast<Verdict>(e.code);
-      life.why = bounded<Why>(e.n[0], 5);
+      life.why = bounded<Why>(e.n[0], 6);
       ++s.given_up;
       return;
     }
@@ -219,6 +221,8 @@
         return Fate::no_attempt;
       case Why::doubt:
         return Fate::doubtful;
+      case Why::answered_late:
+        return Fate::answered_late;
     }
   }
   if (life.ended) {
--- a/src/record/account.hpp
+++ b/src/record/account.hpp
@@ -57,10 +57,11 @@
   refused_at_door,
   made_room,  // given up for others
   no_time,
-  no_attempt,  // all used up
-  doubtful,    // may have run and must not be repeated
-  lost_class,  // given up since the configuration has lost its class
-  answered,    // no message: /up, an id that is held already
+  no_attempt,     // all used up
+  doubtful,       // may have run and must not be repeated
+  answered_late,  // by a host, when its time was up
+  lost_class,     // given up since the configuration has lost its class
+  answered,       // no message: /up, an id that is held already
   held,
 };
 const char* fate_text(Fate fate);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -88,13 +88,20 @@
 void Relay::restore() {
   if (journal_.cut_bytes() > 0)
     log_("journal", "cut a torn tail of " + std::to_string(journal_.cut_bytes()) + " bytes");
-  const WallTime now = wall_now();
   const auto held = journal_.held();  // a copy: replaying writes to it
   for (const auto& [stream, entry] : held) {
-    input(Restored{stream, entry, std::max(Time(0), entry.deadline - now),
-                   std::max(Time(0), now - entry.out_since), std::max(Time(0), now - entry.doubt_since)});
+    // Read for each message: what those before it took must not be added to its time.
+    const WallTime now = wall_now();
+    Restored restored{stream, entry};
+    restored.time_left = std::max(Time(0), entry.deadline - now);
+    restored.out_age = std::max(Time(0), now - entry.out_since);
+    restored.doubt_age = std::max(Time(0), now - entry.doubt_since);
+    restored.more_follow = true;
+    input(restored);
   }
-  if (!held.empty()) log_("journal", std::to_string(held.size()) + " messages go on");
+  if (held.empty()) return;
+  input(TimerDue{});  // no more follow
+  log_("journal", std::to_string(held.size()) + " messages go on");
 }
 
 void Relay::input(const Input& input) {
--- a/src/relay/relay_upgrade.cpp
+++ b/src/relay/relay_upgrade.cpp
@@ -15,7 +15,7 @@
 namespace fennellane {
 namespace {
 
-constexpr std::uint32_t kMemoryVersion = 2;
+constexpr std::uint32_t kMemoryVersion = 3;
 
 std::string ms_text(Time span) {
   char text[32];
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -274,6 +274,23 @@
   EXPECT_TRUE(b.refused.empty()) << "a refusal would say that a repeat is harmless";
 }
 
+// A repeat is dropped only for so long after the first call: the caller is told until when it may begin.
+TEST(Effects, AKeyedRepeatBeginsWithinItsWindow) {
+  Settings s = settings(Effect::keyed);
+  s.classes[0].aim = seconds(2);
+  s.classes[0].window = seconds(1);
+  Bench b(s);
+  b.message(1);
+  const Time first = b.now;
+  b.advance(milliseconds(100));
+  b.outcome(1, Outcome::reset);
+  b.advance(milliseconds(850));
+  ASSERT_EQ(b.sends_of(1), 2u);
+  const Send& repeat = b.sent.back().first;
+  EXPECT_LE(b.sent.back().second + repeat.begin_within, first + seconds(1));
+  EXPECT_GT(repeat.begin_within, Time(0));
+}
+
 TEST(Effects, KeyedWithAllEndpointsMayBeRefusedAfterDoubt) {
   Bench b(settings(Effect::keyed));
   b.message(1, seconds(3));
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -398,6 +398,43 @@
   EXPECT_EQ(count<StartCall>(), 0u);
 }
 
+// Guards against a message without an end: a 200 that is written when its time is up delivers nothing.
+TEST_F(ReducerTest, TellsThePlatformOfAMessageAnsweredAsItsTimeEnds) {
+  for (const Time before : {Time(milliseconds(300)), Time(milliseconds(10)), Time(0)}) {
+    give(offer("a" + std::to_string(before.count()), kPay));
+    now += seconds(20) - milliseconds(20) - before;  // end_call adds 20 ms
+    end_call(Outcome::delivered);
+    const bool in_time = before == Time(milliseconds(300));
+    EXPECT_EQ(count<PostNotice>(), in_time ? 0u : 1u) << before.count();
+    EXPECT_EQ(count<RecordEnded>(), in_time ? 1u : 0u) << before.count();
+    if (in_time) continue;
+    EXPECT_EQ(the<PostNotice>().verdict, Verdict::undeliverable);
+    EXPECT_EQ(the<RecordGivenUp>().why, starlinghook::Why::answered_late);
+    give(NoticeTaken{call.stream});
+    EXPECT_EQ(count<RecordEnded>(), 1u);
+  }
+  EXPECT_EQ(counters.delivered, 1u);
+  EXPECT_EQ(counters.undeliverable, 2u);
+}
+
+// All that a restart finds is known before the first is sent, so that the one worth most goes first.
+TEST_F(SmallReducerTest, SendsTheRestoredMessageThatIsWorthMostFirst) {
+  Restored r;
+  r.entry.destination = 7;
+  r.time_left = seconds(10);
+  r.more_follow = true;
+  for (const std::uint32_t message_class : {kNote, kPay}) {
+    r.stream = 5 + message_class;
+    r.entry.id = "m" + std::to_string(message_class);
+    r.entry.message_class = message_class;
+    give(r);
+    EXPECT_EQ(count<StartCall>(), 0u);
+  }
+  give(TimerDue{});
+  ASSERT_EQ(count<StartCall>(), 1u);  // the window begins at one call
+  EXPECT_EQ(the<StartCall>().id, "m1");
+}
+
 // Guards against a call that the end of the process would cut off, whose effect nobody would know.
 TEST_F(ReducerTest, StartsNoUnsafeCallThatMayOutlastTheEnd) {
   give(StopAsked{now + milliseconds(900)});
