Discovery: an indented list in a watch is read whole, and a move starts with short pauses

Cause, found in the review: Discovery::watch took each line for an object, but lists may come indented; such a list was refused at its first line and the connection dropped, again and again, so nothing of it was ever heard. Lines are now gathered until as many brackets close as open; a beat, or a line that begins an object at its start, ends half an object.

--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -4,10 +4,46 @@
 #include <asio/co_spawn.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
+#include <utility>
 
 #include "memory.hpp"
 
 namespace fennellane {
+namespace {
+
+bool is_blank(std::string_view line) { return line.find_first_not_of(" \r\t") == std::string_view::npos; }
+
+// Whether as many brackets close as open, those in strings aside. True for a text that is no JSON at all,
+// which the parser refuses then.
+bool brackets_closed(std::string_view text) {
+  int depth = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string && c == '\\') {
+      ++i;
+    } else if (c == '"') {
+      in_string = !in_string;
+    } else if (!in_string) {
+      depth += c == '{' || c == '[';
+      depth -= c == '}' || c == ']';
+    }
+  }
+  return depth <= 0 && !in_string;
+}
+
+}  // namespace
+
+// An object may be indented, and so go over several lines. Guards against half an object swallowing those
+// that come behind it: a beat, or a line that begins an object at its very start, cannot be a part of it.
+bool Discovery::take_line(std::string_view line) {
+  const bool within = !object_.empty();
+  if (is_blank(line)) return !within;
+  if (within && line.front() == '{') return false;
+  object_ += line;
+  if (!brackets_closed(object_)) return true;
+  return take(std::exchange(object_, {}));
+}
 
 Discovery::Discovery(asio::io_context& io, const Config& config, const Address& address, Counters& counters,
                      Log& log, OnList on_list)
@@ -42,6 +78,7 @@
   version_ = 0;
   have_list_ = false;
   redirected_ = true;
+  retry_.reset();  // the pause that the old address's outage had earned is not the new one's
   client_.redirect(address);
   pause_.cancel();
 }
@@ -67,9 +104,9 @@
 
 // Guards against a line that cannot be read, or out of its place: it is logged and the connection dropped,
 // and the next watch brings what it said.
-bool Discovery::take(std::string_view line) {
+bool Discovery::take(std::string_view json) {
   try {
-    HostList list = parse_hosts(line, config_.boot);
+    HostList list = parse_hosts(json, config_.boot);
     if (!list.whole && !have_list_) throw ConfigError("changes came before a whole list");
     version_ = list.version;
     have_list_ = true;
@@ -98,6 +135,7 @@
   const bool sent = co_await client_.send(request(target), limits.discovery_answer);
   if (!sent) co_return false;
   std::string text;
+  object_.clear();
   bool any = false;
   while (!client_.answer().done()) {
     // The beginning of the answer comes at once, or the connection is of no use.
@@ -110,12 +148,11 @@
     std::size_t start = 0;
     for (std::size_t end; (end = text.find('\n', start)) != std::string::npos; start = end + 1) {
       const std::string_view line = std::string_view(text).substr(start, end - start);
-      if (line.find_first_not_of(" \r\t") == std::string_view::npos) continue;
-      if (!take(line)) co_return false;
-      any = true;
+      if (!take_line(line)) co_return false;
+      any = any || !is_blank(line);
     }
     text.erase(0, start);
-    if (text.size() > limits.discovery_line) co_return false;
+    if (text.size() + object_.size() > limits.discovery_line) co_return false;
   }
   co_return any;
 }
@@ -133,8 +170,7 @@
     if (good) good = co_await watch();
     client_.close();
     if (stopped_) break;
-    // Guards against a new address waiting out the pause that its predecessor's outage had earned.
-    if (redirected_ || good) retry_.reset();
+    if (good) retry_.reset();
     if (redirected_) continue;
     pause_.expires_after(retry_.next());
     asio::error_code cut_short;
--- a/src/platform/discovery.hpp
+++ b/src/platform/discovery.hpp
@@ -38,7 +38,8 @@
   asio::awaitable<void> run();
   asio::awaitable<bool> fetch();
   asio::awaitable<bool> watch();
-  bool take(std::string_view line);
+  bool take_line(std::string_view line);
+  bool take(std::string_view json);
   std::string request(const std::string& target) const;
 
   asio::io_context& io_;
@@ -51,6 +52,7 @@
   Client client_;
   asio::steady_timer pause_;  // between two connections
   RetryPause retry_;
+  std::string object_;  // of a watch, the lines of one that is not whole yet
   std::uint64_t version_ = 0;
   bool have_list_ = false;
   bool stopped_ = false;
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -153,6 +153,23 @@
   EXPECT_LT(discovery.time_to_return(6, relay), seconds(5));
 }
 
+// A watch brings a whole list instead of a change, and indented, over many lines; half of one at first.
+TEST(Crossings, AWholeListThatIsIndentedIsTakenFromAWatch) {
+  Server host([](const Request&) { return answer("200 OK"); });
+  std::string list = list_json({{"s-2", host.address(), 7}}, 2);
+  for (std::size_t at = 1; (at = list.find_first_of("{,[", at)) != std::string::npos; at += 4)
+    list.insert(at + 1, "\n  ");
+  ASSERT_GT(std::count(list.begin(), list.end(), '\n'), 5);
+  const std::string half = list.substr(0, list.size() / 2);
+  Platform platform({{"s-1", refusing_address(), 7}}, half + "\n\n");
+  Program relay(platform.address());
+  relay.start();
+  ASSERT_TRUE(happens([&] { return platform.watches() >= 2; })) << relay.log();
+  platform.set_watch(list + "\n");
+  ASSERT_EQ(relay.ask(request_to(7, "a1")), 202u);
+  EXPECT_TRUE(happens([&] { return host.count("a1") == 1; })) << relay.log();
+}
+
 // Idle clients hold every descriptor that clients may, and discovery is down; what discovery, calls and
 // notices need is kept for them.
 TEST(Crossings, DescriptorsFilledByIdleClientsLeaveDiscoveryAndCallsTheirs) {
