--- a/include/starlinghook/delivery.hpp
+++ b/include/starlinghook/delivery.hpp
@@ -169,15 +169,15 @@
 };
 // Why a message is given up: to make room for others, since no call would end in time, after its last
 // attempt, since one may have run and none may follow, or since it was answered when its time was up.
-enum class Why { none, room, time, attempts, doubt, answered_late };
+enum class GiveUpReason { none, room, time, attempts, doubt, answered_late };
 struct Refuse {  // undelivered, may safely come again
   MessageId id = 0;
   Time return_after{};
-  Why why = Why::none;
+  GiveUpReason why = GiveUpReason::none;
 };
 struct Fail {
   MessageId id = 0;
-  Why why = Why::none;
+  GiveUpReason why = GiveUpReason::none;
 };
 struct Cancel {
   MessageId id = 0;
--- a/src/core/door.hpp
+++ b/src/core/admission_outcome.hpp
@@ -1,11 +1,12 @@
-// What becomes of a request at the door, in more words than its client hears: for those who ask later why.
+// How the admission of a request ended, and how a connection of a client did: in more detail than the client
+// is told, for the flight record.
 #pragma once
 
 #include <cstdint>
 
 namespace fennellane {
 
-enum class Door : std::uint8_t {
+enum class AdmissionOutcome : std::uint8_t {
   taken,
   repeated,   // the id is held already, or ended just now
   full,       // as many messages are held as may be
@@ -18,10 +19,10 @@
   other,  // /up and the like
   shed,   // turned away before work was put into it
 };
-constexpr std::size_t kDoors = 11;
+constexpr std::size_t kAdmissionOutcomes = 11;
 
-// How a client's connection ended.
-enum class Parting : std::uint8_t {
+// How a connection of a client ended.
+enum class CloseReason : std::uint8_t {
   by_client,   // closed, or broke
   idle,        // for too long
   unfinished,  // half a request, for too long
@@ -29,6 +30,6 @@
   made_way,    // for another
   finished,    // after an answer that ends it
 };
-constexpr std::size_t kPartings = 6;
+constexpr std::size_t kCloseReasons = 6;
 
 }  // namespace fennellane
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -52,22 +52,22 @@
 void Reducer::on(const Offered& o) {
   if (by_id_.count(o.id) || ended_ids_.count(o.id)) {
     ++counters_.repeated;
-    return effect(Answer{o.reply, Reply::taken, Time(0), Door::repeated, 0});
+    return effect(Answer{o.reply, Reply::taken, Time(0), AdmissionOutcome::repeated, 0});
   }
   // Guards against holding to its deadline what can never be delivered. Before discovery has told its list,
   // it may only be too early.
   if (o.destination >= destinations_.size() || !destinations_[o.destination]) {
     ++(listed_ ? counters_.malformed : counters_.refused);
     return effect(Answer{o.reply, listed_ ? Reply::unknown : Reply::refused, refused_again_,
-                         listed_ ? Door::unknown : Door::too_early, 0});
+                         listed_ ? AdmissionOutcome::unknown : AdmissionOutcome::too_early, 0});
   }
-  const Door door = streams_.size() - given_up_ >= limits_.held ? Door::full
-                    : streams_.size() >= limits_.unnoticed      ? Door::unnoticed
-                    : !o.journal_has_room                       ? Door::journal_full
-                                                                : Door::taken;
-  if (door != Door::taken) {
+  const AdmissionOutcome admission = streams_.size() - given_up_ >= limits_.held ? AdmissionOutcome::full
+                                     : streams_.size() >= limits_.unnoticed      ? AdmissionOutcome::unnoticed
+                                     : !o.journal_has_room ? AdmissionOutcome::journal_full
+                                                           : AdmissionOutcome::taken;
+  if (admission != AdmissionOutcome::taken) {
     ++counters_.refused;
-    return effect(Answer{o.reply, Reply::refused, refused_again_, door, 0});
+    return effect(Answer{o.reply, Reply::refused, refused_again_, admission, 0});
   }
   ++counters_.taken;
   const StreamId id = next_++;
@@ -81,7 +81,7 @@
   entry.destination = o.destination;
   entry.body = o.body;
   effect(RecordTaken{id, std::move(entry), o.time_left});
-  effect(Answer{o.reply, Reply::taken, Time(0), Door::taken, id});
+  effect(Answer{o.reply, Reply::taken, Time(0), AdmissionOutcome::taken, id});
   starlinghook::MessageArrived arrived;
   arrived.id = id;
   arrived.message_class = o.message_class;
@@ -108,7 +108,7 @@
   if (e.out) effect(RecordOutcome{r.stream, true});
   // Guards against a configuration that has lost the message's class since.
   if (e.message_class >= aims_.size()) {
-    return give_up(r.stream, Verdict::undeliverable, Time(0), starlinghook::Why::none);
+    return give_up(r.stream, Verdict::undeliverable, Time(0), starlinghook::GiveUpReason::none);
   }
   starlinghook::MessageArrived arrived;
   arrived.id = r.stream;
@@ -147,7 +147,7 @@
   ended.idle = c.idle;
   if (too_late) {
     ++counters_.undeliverable;
-    give_up(c.stream, Verdict::undeliverable, Time(0), starlinghook::Why::answered_late);
+    give_up(c.stream, Verdict::undeliverable, Time(0), starlinghook::GiveUpReason::answered_late);
   } else if (ended.finished) {
     ++(c.outcome == Outcome::delivered ? counters_.delivered : counters_.withdrawn);
     counters_.late += c.outcome == Outcome::delivered && now_ > stream.late_at ? 1 : 0;
@@ -325,7 +325,7 @@
                    a.begin_within});
 }
 
-void Reducer::give_up(StreamId stream, Verdict verdict, Time again, starlinghook::Why why) {
+void Reducer::give_up(StreamId stream, Verdict verdict, Time again, starlinghook::GiveUpReason why) {
   Stream& s = streams_.at(stream);
   s.given_up = true;
   s.body.reset();
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -15,9 +15,9 @@
 #include <variant>
 #include <vector>
 
+#include "admission_outcome.hpp"
 #include "cluster.hpp"
 #include "counters.hpp"
-#include "door.hpp"
 #include "limits.hpp"
 #include "roles.hpp"
 #include "stream.hpp"
@@ -96,7 +96,7 @@
   StreamId stream = 0;
   Verdict verdict{};
   Time again{};
-  starlinghook::Why why{};  // for those who ask; not in the journal
+  starlinghook::GiveUpReason why{};  // for those who ask; not in the journal
 };
 struct RecordEnded {
   StreamId stream = 0;
@@ -106,7 +106,7 @@
   ReplyTo reply = 0;
   Reply with{};
   Time again{};  // refused: when to come back; 0 = no advice
-  Door door{};
+  AdmissionOutcome admission{};
   StreamId stream = 0;  // of one that is taken on
 };
 struct StartCall {
@@ -226,7 +226,7 @@
   void carry(const starlinghook::FetchList&) {}
 
   Stream& add(StreamId id, std::string text, Body body);
-  void give_up(StreamId stream, Verdict verdict, Time again, starlinghook::Why why);
+  void give_up(StreamId stream, Verdict verdict, Time again, starlinghook::GiveUpReason why);
   bool answered_too_late(const Stream& stream, const CallEnded& call) const;
   template <class Concerned>
   void hold_back(Concerned concerned);
--- a/src/delivery_memory.hpp
+++ b/src/delivery_memory.hpp
@@ -45,7 +45,8 @@
 }
 template <class A>
 void serialize(A& a, Endpoint& e) {  // but for its route
-  a(e.entry, e.health, e.out, e.connections, e.most_out, e.crowded_at, e.crowded_gap, e.last_used, e.lot);
+  a(e.entry, e.health, e.out, e.connections, e.most_out, e.crowded_at, e.crowded_gap, e.last_used,
+    e.tie_breaker);
 }
 template <class A>
 void serialize(A& a, Message& m) {  // but for its rules
--- a/src/delivery_policy.cpp
+++ b/src/delivery_policy.cpp
@@ -118,7 +118,7 @@
   Time crowded_at = kLongAgo;  // when that was seen last
   Time crowded_gap = Time(1);  // from then on one more call is tried after each such time
   Time last_used = kLongAgo;
-  std::uint64_t lot = 0;  // decides between equals, another order at each forwarder
+  std::uint64_t tie_breaker = 0;  // decides between equals, another order at each forwarder
 };
 
 struct Message {
@@ -293,7 +293,7 @@
     for (const EndpointEntry& entry : e.entries) {
       std::pair key(entry.destination, routes_apart(entry) ? std::optional(entry.endpoint) : std::nullopt);
       Endpoint& endpoint = endpoints_[entry.endpoint];
-      if (endpoint.route == nullptr) endpoint.lot = random_();
+      if (endpoint.route == nullptr) endpoint.tie_breaker = random_();
       if (endpoint.route) destinations_[endpoint.entry.destination].endpoints.erase(entry.endpoint);
       // Guards an endpoint whose drain is taken back, as by a health check: it may be cold. Shortens nothing.
       const bool up = endpoint.entry.condition == Condition::draining && entry.condition == Condition::ready;
@@ -766,11 +766,11 @@
   }
 
   // The endpoint that is least busy, in the own zone where crossing costs, over a connection that is open.
-  // The lot guards against all forwarders starting with the same endpoint and staying on its connection.
+  // The tie-breaker guards against all forwarders starting with one endpoint and staying on its connection.
   std::tuple<double, Time, std::uint64_t> rank(const Endpoint& e) const {
     double cost = static_cast<double>(e.out.size()) + 4 * e.health.fail_share;
     if (e.entry.zone != s_.zone && s_.cross_zone_price > 0) cost += 1;
-    return {warm(e) ? cost : cost + 0.5, e.last_used, e.lot};
+    return {warm(e) ? cost : cost + 0.5, e.last_used, e.tie_breaker};
   }
   bool warm(const Endpoint& e) const {
     if (e.connections == 0) return false;
@@ -990,10 +990,10 @@
   void answer(Message& m, const Destination& d, bool for_room = false) {
     bool may_refuse = !m.may_have_run || m.rules->effect == Effect::safe ||
                       (m.rules->effect == Effect::keyed && m.rules->key_scope == KeyScope::all);
-    const Why why = for_room                        ? Why::room
-                    : m.attempts >= s_.max_attempts ? Why::attempts
-                    : may_refuse                    ? Why::time
-                                                    : Why::doubt;
+    const GiveUpReason why = for_room                        ? GiveUpReason::room
+                             : m.attempts >= s_.max_attempts ? GiveUpReason::attempts
+                             : may_refuse                    ? GiveUpReason::time
+                                                             : GiveUpReason::doubt;
     may_refuse ? act(Refuse{m.facts.id, return_after(d), why}) : act(Fail{m.facts.id, why});
     end(m);
   }
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -133,11 +133,11 @@
 
   // Puts the answer into the ring and as much of it on its way as goes at once, so that it leaves before what
   // the relay does next.
-  void answer(unsigned status, std::string_view more_headers = {}, Door door = Door::malformed,
-              StreamId stream = 0) {
+  void answer(unsigned status, std::string_view more_headers = {},
+              AdmissionOutcome admission = AdmissionOutcome::malformed, StreamId stream = 0) {
     owner_.record_.note(
         record::Kind::answered, number_, static_cast<std::uint16_t>(status),
-        {static_cast<std::uint32_t>(door), record::us32(waited_), static_cast<std::uint32_t>(stream)});
+        {static_cast<std::uint32_t>(admission), record::us32(waited_), static_cast<std::uint32_t>(stream)});
     if (status != 200 && status != 202 && status != 503) ++owner_.counters_.malformed;
     const bool close = closing_ || owner_.sending_away_ || !request_.done() || !request_.keep_alive();
     closing_ = close;
@@ -162,10 +162,10 @@
   // Closes at once, so that the place is free; half a request hears why, if the answer leaves in one piece.
   void make_way() {
     if (request_.started() && !lingering_) answer(408);
-    drop(Parting::made_way);
+    drop(CloseReason::made_way);
   }
 
-  void drop(Parting how) {
+  void drop(CloseReason how) {
     asio::error_code ignored;
     timer_.cancel();
     socket_.close(ignored);
@@ -183,7 +183,7 @@
   }
   void await_lingered() {
     timer_.async_wait([self = shared_from_this()](asio::error_code e) {
-      if (!e) self->drop(Parting::finished);
+      if (!e) self->drop(CloseReason::finished);
     });
   }
   void arm(Time limit) { arm_at(std::chrono::steady_clock::now() + limit); }
@@ -195,8 +195,8 @@
       if (!self->closing_ && !self->out_.empty() && self->taken_ >= self->limits_.least_taken) {
         return self->await_taken();
       }
-      if (self->closing_ || !self->out_.empty()) return self->drop(Parting::unread);
-      if (self->idle()) return self->drop(self->served_ ? Parting::idle : Parting::unfinished);
+      if (self->closing_ || !self->out_.empty()) return self->drop(CloseReason::unread);
+      if (self->idle()) return self->drop(self->served_ ? CloseReason::idle : CloseReason::unfinished);
       // Guards against half a request holding its connection for good.
       if (self->request_.started()) self->answer(408);
       self->flush_then_read();
@@ -213,11 +213,11 @@
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](asio::error_code e) {
       self->reading_ = false;
       if (!self->socket_.is_open()) return;
-      if (e) return self->drop(Parting::by_client);
+      if (e) return self->drop(CloseReason::by_client);
       const std::span<char> space = self->in_.space();
       const std::size_t n = self->socket_.read_some(asio::buffer(space.data(), space.size()), e);
       if (e == asio::error::would_block) return self->read();
-      if (e && e != asio::error::eof) return self->drop(Parting::by_client);
+      if (e && e != asio::error::eof) return self->drop(CloseReason::by_client);
       self->in_.commit(n);
       self->ended_ = e == asio::error::eof;
       self->process();
@@ -272,7 +272,7 @@
   void handle() {
     if (request_.target() == "/up") {
       if (request_.method() != "GET") return answer(405, "Allow: GET\r\n");
-      return answer(owner_.ready_ ? 200 : 503, "", Door::other);
+      return answer(owner_.ready_ ? 200 : 503, "", AdmissionOutcome::other);
     }
     std::variant<Offered, unsigned> offer = read_offer(request_, owner_.config_);
     if (const unsigned* refused = std::get_if<unsigned>(&offer)) {
@@ -285,7 +285,7 @@
     // another id.
     if (left()) {
       ++owner_.counters_.refused;
-      return answer(503, "", Door::left);
+      return answer(503, "", AdmissionOutcome::left);
     }
     message.reply = number_;
     handed_in_ = true;
@@ -328,10 +328,10 @@
   void flush_then_read() {
     if (writing_ || !socket_.is_open()) return;
     write_out();
-    if (broken_) return drop(Parting::by_client);
+    if (broken_) return drop(CloseReason::by_client);
     if (out_.empty()) {
       if (std::exchange(slow_, false)) arm(request_.started() ? limits_.request : limits_.downstream_idle);
-      if (ended_) return drop(closing_ ? Parting::finished : Parting::by_client);
+      if (ended_) return drop(closing_ ? CloseReason::finished : CloseReason::by_client);
       if (closing_ && !lingering_) finish();
       return read_if_idle();
     }
@@ -349,7 +349,7 @@
     socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](asio::error_code e) {
       self->writing_ = false;
       if (!self->socket_.is_open()) return;
-      if (e) return self->drop(Parting::by_client);
+      if (e) return self->drop(CloseReason::by_client);
       self->write_out();
       // Requests that came while the answers had no room go on now.
       if (!self->in_.empty() && !self->closing_) return self->process();
@@ -499,10 +499,11 @@
 void Downstream::answer(const Answer& answer) {
   const auto it = sessions_.find(answer.reply);
   if (it == sessions_.end()) return;
-  if (answer.with == Reply::taken) return it->second->answer(202, "", answer.door, answer.stream);
-  if (answer.with == Reply::unknown) return it->second->answer(400, "", answer.door);
+  if (answer.with == Reply::taken) return it->second->answer(202, "", answer.admission, answer.stream);
+  if (answer.with == Reply::unknown) return it->second->answer(400, "", answer.admission);
   const auto again = std::chrono::ceil<std::chrono::seconds>(answer.again).count();
-  it->second->answer(503, again > 0 ? "Retry-After: " + std::to_string(again) + "\r\n" : "", answer.door);
+  it->second->answer(503, again > 0 ? "Retry-After: " + std::to_string(again) + "\r\n" : "",
+                     answer.admission);
 }
 
 std::string Downstream::save(DescriptorsOut& descriptors) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -31,7 +31,7 @@
 const std::map<std::string, Fate> kEndings = {{"in-time", Fate::in_time},
                                               {"late", Fate::late},
                                               {"withdrawn", Fate::withdrawn},
-                                              {"refused", Fate::refused_at_door},
+                                              {"refused", Fate::refused_admission},
                                               {"room", Fate::made_room},
                                               {"time", Fate::no_time},
                                               {"attempts", Fate::no_attempt},
--- a/src/record/account.cpp
+++ b/src/record/account.cpp
@@ -6,8 +6,8 @@
 
 namespace fennellane::record {
 
+using starlinghook::GiveUpReason;
 using starlinghook::Outcome;
-using starlinghook::Why;
 
 namespace {
 
@@ -29,7 +29,7 @@
       return "delivered late";
     case Fate::withdrawn:
       return "over elsewhere";
-    case Fate::refused_at_door:
+    case Fate::refused_admission:
       return "refused at the door";
     case Fate::made_room:
       return "given up to make room";
@@ -51,29 +51,29 @@
   return "";
 }
 
-const char* door_text(Door door) {
-  switch (door) {
-    case Door::taken:
+const char* admission_text(AdmissionOutcome admission) {
+  switch (admission) {
+    case AdmissionOutcome::taken:
       return "taken on";
-    case Door::repeated:
+    case AdmissionOutcome::repeated:
       return "held already";
-    case Door::full:
+    case AdmissionOutcome::full:
       return "as many messages are held as may be";
-    case Door::unnoticed:
+    case AdmissionOutcome::unnoticed:
       return "too many notices have not been taken";
-    case Door::journal_full:
+    case AdmissionOutcome::journal_full:
       return "the journal is full";
-    case Door::too_early:
+    case AdmissionOutcome::too_early:
       return "no list of hosts yet";
-    case Door::unknown:
+    case AdmissionOutcome::unknown:
       return "no such destination";
-    case Door::left:
+    case AdmissionOutcome::left:
       return "its client had gone";
-    case Door::malformed:
+    case AdmissionOutcome::malformed:
       return "malformed";
-    case Door::other:
+    case AdmissionOutcome::other:
       return "no message";
-    case Door::shed:
+    case AdmissionOutcome::shed:
       return "turned away under pressure";
   }
   return "";
@@ -122,7 +122,7 @@
       ++s.no_place;
       return;
     case Kind::client: {
-      ++partings_[bounded<Parting>(e.code, kPartings)];
+      ++close_reasons_[bounded<CloseReason>(e.code, kCloseReasons)];
       asking_.erase(e.subject);
       return;
     }
@@ -143,14 +143,14 @@
       const auto it = asking_.find(e.subject);
       if (it == asking_.end()) return;  // malformed, or no message
       Life& life = lives_[it->second];
-      life.door = bounded<Door>(e.n[0], kDoors);
+      life.admission = bounded<AdmissionOutcome>(e.n[0], kAdmissionOutcomes);
       life.waited_us = e.n[1];
       if (e.n[1] > kSlowToReadUs) ++s.accepted_late;
-      if (life.door == Door::taken) {
+      if (life.admission == AdmissionOutcome::taken) {
         ++s.taken;
         life.stream = e.n[2];
         streams_[life.stream] = it->second;
-      } else if (life.door != Door::repeated) {
+      } else if (life.admission != AdmissionOutcome::repeated) {
         ++s.refused;
       }
       asking_.erase(it);
@@ -183,7 +183,7 @@
       Life& life = by_stream(e);
       life.given_up = e.at;
       life.verdict = static_cast<Verdict>(e.code);
-      life.why = bounded<Why>(e.n[0], 6);
+      life.why = bounded<GiveUpReason>(e.n[0], 6);
       ++s.given_up;
       return;
     }
@@ -211,17 +211,17 @@
 Fate Account::fate(const Life& life) const {
   if (life.given_up) {
     switch (life.why) {
-      case Why::none:
+      case GiveUpReason::none:
         return Fate::lost_class;
-      case Why::room:
+      case GiveUpReason::room:
         return Fate::made_room;
-      case Why::time:
+      case GiveUpReason::time:
         return Fate::no_time;
-      case Why::attempts:
+      case GiveUpReason::attempts:
         return Fate::no_attempt;
-      case Why::doubt:
+      case GiveUpReason::doubt:
         return Fate::doubtful;
-      case Why::answered_late:
+      case GiveUpReason::answered_late:
         return Fate::answered_late;
     }
   }
@@ -235,8 +235,8 @@
     return age > c.aim ? Fate::late : Fate::in_time;
   }
   if (life.stream != 0) return Fate::held;
-  if (!life.door) return Fate::answered;
-  return *life.door == Door::repeated ? Fate::answered : Fate::refused_at_door;
+  if (!life.admission) return Fate::answered;
+  return *life.admission == AdmissionOutcome::repeated ? Fate::answered : Fate::refused_admission;
 }
 
 std::map<Outcome, std::size_t> Account::outcomes(std::uint32_t destination, Moment from, Moment to) const {
--- a/src/record/account.hpp
+++ b/src/record/account.hpp
@@ -9,8 +9,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admission_outcome.hpp"
 #include "counters.hpp"
-#include "door.hpp"
 #include "entry.hpp"
 #include "legend.hpp"
 #include "record_file.hpp"
@@ -40,11 +40,11 @@
   Moment began = 0;
   bool restored = false;                   // from the journal, in an earlier life of the relay
   std::optional<std::uint32_t> waited_us;  // its last byte, before it was read
-  std::optional<Door> door;
+  std::optional<AdmissionOutcome> admission;
   std::vector<CallSeen> calls;
   std::optional<Moment> given_up;
   Verdict verdict{};
-  starlinghook::Why why{};
+  starlinghook::GiveUpReason why{};
   std::optional<Moment> ended;
   End end{};
 };
@@ -54,7 +54,7 @@
   in_time,    // delivered within its class's aim, counted from when its client handed it in first
   late,       // delivered after it
   withdrawn,  // over elsewhere
-  refused_at_door,
+  refused_admission,
   made_room,  // given up for others
   no_time,
   no_attempt,     // all used up
@@ -65,7 +65,7 @@
   held,
 };
 const char* fate_text(Fate fate);
-const char* door_text(Door door);
+const char* admission_text(AdmissionOutcome admission);
 
 struct Second {
   Moment at = 0;  // its beginning
@@ -92,7 +92,7 @@
   std::map<starlinghook::Outcome, std::size_t> outcomes(std::uint32_t destination, Moment from,
                                                         Moment to) const;
   // How clients' connections ended.
-  const std::map<Parting, std::size_t>& partings() const { return partings_; }
+  const std::map<CloseReason, std::size_t>& close_reasons() const { return close_reasons_; }
 
  private:
   void take(const Entry& e);
@@ -104,7 +104,7 @@
   std::vector<Second> seconds_;
   std::unordered_map<std::uint64_t, std::size_t> asking_;  // by connection
   std::unordered_map<std::uint64_t, std::size_t> streams_;
-  std::map<Parting, std::size_t> partings_;
+  std::map<CloseReason, std::size_t> close_reasons_;
 };
 
 }  // namespace fennellane::record
--- a/src/record/entry.hpp
+++ b/src/record/entry.hpp
@@ -17,16 +17,18 @@
   beat,       // once a second; code: the loop's longest delay in ms; n: messages held, calls out, clients
   load,       // with a beat; n: CPU in us since the last one, most resident KiB, connections to hosts
   no_place,   // a client could not be accepted at once; n: clients
-  client,  // a connection ended; subject: it; code: Parting; n: age in ms, requests, ms since its last change
-  asked,   // subject: the connection; code: the class; n: tenant, destination, ms left; name: the message
-  answered,  // subject: the connection; code: the status; n: Door, us from readable to answered, the stream
-  restored,  // subject: the stream; code: the class; n: tenant, destination, ms left; name: the message
+  client,     // a connection ended; subject: it; code: CloseReason; n: age in ms, requests, ms since its last
+              // change
+  asked,      // subject: the connection; code: the class; n: tenant, destination, ms left; name: the message
+  answered,   // subject: the connection; code: the status; n: AdmissionOutcome, us from readable to answered,
+              // the stream
+  restored,   // subject: the stream; code: the class; n: tenant, destination, ms left; name: the message
   call,  // subject: the stream; code: the attempt; n: the host, ms until it is given up; name: its address
   call_ended,  // subject: the stream; code: the outcome; n: the attempt, ms of a told wait, ms that its
                // connection had stood idle (0: a new one)
-  given_up,    // subject: the stream; code: Verdict; n: starlinghook::Why, ms until it may come again
-  ended,       // subject: the stream; code: End
-  host,        // subject: the host; code: its condition; n: destination, rate in thousandths; name: its id
+  given_up,  // subject: the stream; code: Verdict; n: starlinghook::GiveUpReason, ms until it may come again
+  ended,     // subject: the stream; code: End
+  host,      // subject: the host; code: its condition; n: destination, rate in thousandths; name: its id
 };
 constexpr std::uint16_t kKinds = 16;
 
--- a/src/record/fleet.cpp
+++ b/src/record/fleet.cpp
@@ -4,14 +4,14 @@
 #include <set>
 #include <unordered_map>
 
-#include "door.hpp"
+#include "admission_outcome.hpp"
 #include "starlinghook/delivery.hpp"
 
 namespace fennellane::record {
 namespace {
 
+using starlinghook::GiveUpReason;
 using starlinghook::Outcome;
-using starlinghook::Why;
 constexpr std::int64_t kSecond = 1'000'000;
 
 bool failure(Outcome o) {
@@ -28,10 +28,10 @@
   if (outcome == Outcome::connect_failed) ++c.unconnected;
 }
 void count_given_up(FleetCount& c, std::uint32_t why) {
-  if (why == static_cast<std::uint32_t>(Why::room)) ++c.room;
-  if (why == static_cast<std::uint32_t>(Why::time)) ++c.time;
-  if (why == static_cast<std::uint32_t>(Why::attempts)) ++c.attempts;
-  if (why == static_cast<std::uint32_t>(Why::doubt)) ++c.doubt;
+  if (why == static_cast<std::uint32_t>(GiveUpReason::room)) ++c.room;
+  if (why == static_cast<std::uint32_t>(GiveUpReason::time)) ++c.time;
+  if (why == static_cast<std::uint32_t>(GiveUpReason::attempts)) ++c.attempts;
+  if (why == static_cast<std::uint32_t>(GiveUpReason::doubt)) ++c.doubt;
 }
 
 void print_header(std::ostream& out) {
@@ -82,7 +82,7 @@
       case Kind::answered: {
         const auto asked = asking.find(e.subject);
         if (asked == asking.end()) break;
-        if (e.n[0] == static_cast<std::uint32_t>(Door::taken)) {
+        if (e.n[0] == static_cast<std::uint32_t>(AdmissionOutcome::taken)) {
           streams[e.n[2]] = asked->second;
           both(asked->second, [](FleetCount& c) { ++c.taken; });
         }
--- a/src/record/recorder.hpp
+++ b/src/record/recorder.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-#include "door.hpp"
+#include "admission_outcome.hpp"
 #include "record_file.hpp"
 #include "reducer.hpp"
 
--- a/src/record/report.cpp
+++ b/src/record/report.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::array<const char*, kOutcomes> kOutcomeTexts = {
     "error", "delivered", "turned away", "timed out", "could not connect", "reset", "cancelled", "not sent"};
-constexpr std::array<const char*, kPartings> kPartingTexts = {
+constexpr std::array<const char*, kCloseReasons> kCloseReasonTexts = {
     "by the client", "idle", "half a request", "answer unread", "made way", "after its last answer"};
 
 template <class... T>
@@ -45,7 +45,7 @@
 
 // Columns: messages, delivered in time, late, refused at the door, given up, else.
 struct Row {
-  std::size_t all = 0, in_time = 0, late = 0, door = 0, given_up = 0, held = 0;
+  std::size_t all = 0, in_time = 0, late = 0, not_admitted = 0, given_up = 0, held = 0;
   void add(Fate fate) {
     if (fate == Fate::answered) return;
     ++all;
@@ -56,8 +56,8 @@
       case Fate::late:
         ++late;
         break;
-      case Fate::refused_at_door:
-        ++door;
+      case Fate::refused_admission:
+        ++not_admitted;
         break;
       case Fate::held:
       case Fate::withdrawn:
@@ -80,7 +80,7 @@
   for (std::size_t i = 0; i < std::min(kMost, sorted.size()); ++i) {
     const Row& r = sorted[i].second;
     out << format("%-24.24s %8zu %8zu %8zu %8zu %8zu %8zu\n", std::string(sorted[i].first).c_str(), r.all,
-                  r.in_time, r.late, r.door, r.given_up, r.held);
+                  r.in_time, r.late, r.not_admitted, r.given_up, r.held);
   }
   if (sorted.size() > kMost) out << "and " << sorted.size() - kMost << " more\n";
 }
@@ -91,7 +91,7 @@
     const Fate fate = account.fate(life);
     if (fate == Fate::answered) continue;
     std::string text = fate_text(fate);
-    if (fate == Fate::refused_at_door) text += std::string(": ") + door_text(*life.door);
+    if (fate == Fate::refused_admission) text += std::string(": ") + admission_text(*life.admission);
     auto& [count, slow] = causes[text];
     ++count;
     if (life.waited_us && *life.waited_us > kSlowToReadUs) ++slow;
@@ -149,8 +149,8 @@
   print_rows("tenant", tenants, out);
   print_rows("destination", destinations, out);
   out << "\nclients' connections that ended:";
-  for (const auto& [how, count] : account.partings()) {
-    out << "  " << count << ' ' << kPartingTexts[static_cast<std::size_t>(how)];
+  for (const auto& [how, count] : account.close_reasons()) {
+    out << "  " << count << ' ' << kCloseReasonTexts[static_cast<std::size_t>(how)];
   }
   out << '\n';
   print_seconds(account, most_seconds, out);
@@ -164,7 +164,8 @@
       << " to destination " << life->destination << ", " << life->left_ms << " ms left";
   if (life->waited_us) out << ", read " << *life->waited_us / 1000 << " ms after its last byte";
   out << '\n';
-  if (life->door) out << clock_text(life->began) << "  at the door: " << door_text(*life->door) << '\n';
+  if (life->admission)
+    out << clock_text(life->began) << "  at the door: " << admission_text(*life->admission) << '\n';
   for (const CallSeen& call : life->calls) {
     out << clock_text(call.from) << "  call to " << call.host << ": ";
     if (!call.to) {
@@ -191,7 +192,7 @@
       << " meanwhile: " << outcome_counts(account.outcomes(life->destination, life->began, end)) << '\n';
   const Fate fate = account.fate(*life);
   out << fate_text(fate);
-  if (fate == Fate::refused_at_door) out << ": " << door_text(*life->door);
+  if (fate == Fate::refused_admission) out << ": " << admission_text(*life->admission);
   out << '\n';
   return true;
 }
