Read over: each byte of an indented list is looked at once; fleet models share settings

JsonObjectText keeps the count between lines. And slow_start_test.cpp had the settings of fleet_test.cpp once more; both take them from tests/fleet_settings.hpp now, with the values that each had.

The cost of a large list was not measured.

--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -9,40 +9,41 @@
 #include "memory.hpp"
 
 namespace fennellane {
-namespace {
 
-bool is_blank(std::string_view line) { return line.find_first_not_of(" \r\t") == std::string_view::npos; }
+void JsonObjectText::clear() { *this = {}; }
 
-// Whether as many brackets close as open, those in strings aside. True for a text that is no JSON at all,
-// which the parser refuses then.
-bool brackets_closed(std::string_view text) {
-  int depth = 0;
-  bool in_string = false;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    const char c = text[i];
-    if (in_string && c == '\\') {
-      ++i;
+void JsonObjectText::add(std::string_view line) {
+  text_ += line;
+  for (const char c : line) {
+    if (std::exchange(escaped_, false)) continue;
+    if (in_string_ && c == '\\') {
+      escaped_ = true;
     } else if (c == '"') {
-      in_string = !in_string;
-    } else if (!in_string) {
-      depth += c == '{' || c == '[';
-      depth -= c == '}' || c == ']';
+      in_string_ = !in_string_;
+    } else if (!in_string_) {
+      depth_ += c == '{' || c == '[';
+      depth_ -= c == '}' || c == ']';
     }
   }
-  return depth <= 0 && !in_string;
 }
 
+namespace {
+
+bool is_blank(std::string_view line) { return line.find_first_not_of(" \r\t") == std::string_view::npos; }
+
 }  // namespace
 
 // An object may be indented, and so go over several lines. Guards against half an object swallowing those
 // that come behind it: a beat, or a line that begins an object at its very start, cannot be a part of it.
 bool Discovery::take_line(std::string_view line) {
-  const bool within = !object_.empty();
+  const bool within = !object_.text().empty();
   if (is_blank(line)) return !within;
   if (within && line.front() == '{') return false;
-  object_ += line;
-  if (!brackets_closed(object_)) return true;
-  return take(std::exchange(object_, {}));
+  object_.add(line);
+  if (!object_.whole()) return true;
+  const bool good = take(object_.text());
+  object_.clear();
+  return good;
 }
 
 Discovery::Discovery(asio::io_context& io, const Config& config, const Address& address, Counters& counters,
@@ -152,7 +153,7 @@
       any = any || !is_blank(line);
     }
     text.erase(0, start);
-    if (text.size() + object_.size() > limits.discovery_line) co_return false;
+    if (text.size() + object_.text().size() > limits.discovery_line) co_return false;
   }
   co_return any;
 }
--- a/src/platform/discovery.hpp
+++ b/src/platform/discovery.hpp
@@ -6,6 +6,8 @@
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
 
 #include "client.hpp"
 #include "cluster_source.hpp"
@@ -16,6 +18,23 @@
 
 namespace fennellane {
 
+// The text of one JSON object, line by line; each byte is looked at once.
+class JsonObjectText {
+ public:
+  void clear();
+  void add(std::string_view line);
+  // As many brackets have closed as opened, those in strings aside. True of a text that is no JSON at all,
+  // which the parser refuses then.
+  bool whole() const { return depth_ <= 0 && !in_string_; }
+  const std::string& text() const { return text_; }
+
+ private:
+  std::string text_;
+  int depth_ = 0;
+  bool in_string_ = false;
+  bool escaped_ = false;  // the next character, in a string
+};
+
 class Discovery : public ClusterSource, public std::enable_shared_from_this<Discovery> {
  public:
   Discovery(asio::io_context& io, const Config& config, const Address& address, Counters& counters, Log& log,
@@ -52,7 +71,7 @@
   Client client_;
   asio::steady_timer pause_;  // between two connections
   RetryPause retry_;
-  std::string object_;  // of a watch, the lines of one that is not whole yet
+  JsonObjectText object_;  // of a watch, the lines of one that is not whole yet
   std::uint64_t version_ = 0;
   bool have_list_ = false;
   bool stopped_ = false;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -8,6 +8,7 @@
 #include <random>
 #include <vector>
 
+#include "fleet_settings.hpp"
 #include "starlinghook/delivery.hpp"
 
 namespace {
@@ -115,28 +116,9 @@
   };
 
   Settings settings(std::uint32_t index) const {
-    Settings s;
-    s.seed = w_.seed * 1000 + index;
-    s.index = index;
-    s.forwarders = w_.forwarders;
-    ClassSettings c;
-    c.effect = Effect::safe;
-    c.aim = seconds(2);
-    c.deadline = seconds(20);
-    c.late_worth = 0.3;
-    s.classes = {c};
-    s.kinds = {KindSettings{}};
+    Settings s = test::fleet_settings(w_.seed, index, w_.forwarders);
     s.slots = 6;
-    s.max_held = 1000;
-    s.max_attempts = 12;
-    s.connect_timeout = seconds(1);
-    s.connection_idle = seconds(15);
-    s.resolution = milliseconds(1);
     s.reports_allowance = true;
-    s.cold_time = seconds(10);
-    s.cold_from = 0.16;
-    s.overload_factor = 2;
-    s.overload_time = seconds(2);
     return s;
   }
 
--- a/tests/slow_start_test.cpp
+++ b/tests/slow_start_test.cpp
@@ -9,6 +9,7 @@
 #include <random>
 #include <vector>
 
+#include "fleet_settings.hpp"
 #include "starlinghook/delivery.hpp"
 
 namespace {
@@ -22,7 +23,7 @@
 constexpr Time kOverloadTime = seconds(2);
 constexpr double kOverloadFactor = 2;
 constexpr double kColdFrom = 0.16;
-constexpr double kColdSeconds = 10;
+constexpr Time kColdTime = seconds(10);
 
 double in_seconds(Time span) { return std::chrono::duration<double>(span).count(); }
 
@@ -44,7 +45,8 @@
   bool is_down(Time t) const { return t >= down_ && t < up_; }
   double capacity(Time t) const {
     if (t < up_) return world_.rate;
-    return world_.rate * (kColdFrom + (1 - kColdFrom) * std::min(1.0, in_seconds(t - up_) / kColdSeconds));
+    return world_.rate *
+           (kColdFrom + (1 - kColdFrom) * std::min(1.0, in_seconds(t - up_) / in_seconds(kColdTime)));
   }
   void tick(Time t) {
     tokens_ = std::min(tokens_ + capacity(t) * in_seconds(kTick), std::max(1.0, capacity(t)));
@@ -58,7 +60,7 @@
   double excess(Time t, bool told) {
     std::deque<Time>& calls = told ? told_calls_ : all_calls_;
     while (!calls.empty() && calls.front() + kOverloadTime <= t) calls.pop_front();
-    if (t < up_ || in_seconds(t - up_) > kColdSeconds) return -1e9;
+    if (t < up_ || t - up_ > kColdTime) return -1e9;
     const double budget = kOverloadFactor * capacity(t) * in_seconds(kOverloadTime);
     return static_cast<double>(calls.size()) - (budget + 2 * std::sqrt(budget) + 2);
   }
@@ -132,30 +134,14 @@
   };
 
   Settings settings(std::uint32_t index) const {
-    Settings s;
-    s.seed = world_.seed * 1000 + index;
-    s.index = index;
-    s.forwarders = world_.forwarders;
-    ClassSettings message_class;
-    message_class.effect = Effect::safe;
-    message_class.aim = seconds(2);
-    message_class.deadline = seconds(20);
-    message_class.late_worth = 0.3;
-    s.classes = {message_class};
-    s.kinds = {KindSettings{}};
+    Settings s = test::fleet_settings(world_.seed, index, world_.forwarders);
     s.slots = 8;
-    s.max_held = 1000;
-    s.max_attempts = 12;
-    s.connect_timeout = seconds(1);
-    s.connection_idle = seconds(15);
-    s.resolution = milliseconds(1);
-    s.cold_time = from_double(kColdSeconds);
+    s.cold_time = kColdTime;
     s.cold_from = kColdFrom;
     s.overload_factor = kOverloadFactor;
     s.overload_time = kOverloadTime;
     return s;
   }
-  static Time from_double(double s) { return Time(static_cast<Time::rep>(s * 1e6)); }
 
   void offer() {
     if (now_ >= destination_.up()) ++offered_;
