A connect that fails for a shortage here is tried again, and no failure of its host

What callers saw: where this machine was short of ports, routes, descriptors or buffers for a moment, calls ended as failed connects; sound endpoints rested for it and messages lost attempts.

Cause: Upstream::Connection took every error of socket, connect and getsockopt for the host's.

A connect that fails for a shortage is made again after 5 ms within the call's own limit; if that runs out, the call ends as not sent. Writes and reads of a call are finished likewise, so a passing error no longer breaks a call in the middle.

--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -33,6 +33,10 @@
   add("notices_taken", c.notices_taken);
   add("notice_tries", c.notice_tries);
   add("restored", c.restored);
+  add("storage.failures", c.storage_failures);
+  add("storage.refused", c.storage_refused);
+  add("storage.unsent", c.storage_unsent);
+  add("local_retries", c.local_retries);
   add("lists", c.lists);
   add("discovery_connects", c.discovery_connects);
   add("reloads", c.reloads);
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -34,6 +34,11 @@
   std::uint64_t notices_taken = 0;
   std::uint64_t notice_tries = 0;
   std::uint64_t restored = 0;  // from the journal
+  // Failures here.
+  std::uint64_t storage_failures = 0;  // times that storage began to fail
+  std::uint64_t storage_refused = 0;   // messages refused since it failed
+  std::uint64_t storage_unsent = 0;    // calls not sent since their record failed
+  std::uint64_t local_retries = 0;     // socket calls made again after a local shortage
   // Discovery.
   std::uint64_t lists = 0;
   std::uint64_t discovery_connects = 0;
--- a/src/core/limits.hpp
+++ b/src/core/limits.hpp
@@ -59,6 +59,13 @@
   Time answer_rest = std::chrono::seconds(1);          // from a host's answer's first byte to its last
   Time refused_again = std::chrono::seconds(1);        // advice with 503, where the settings allow any
   Time accept_backoff = std::chrono::milliseconds(10);
+  // After a call that failed for want of something here, before the same call again.
+  Time local_retry = std::chrono::milliseconds(5);
+  // A listener, or a state folder that is missing or not permitted, is waited for so long at a start.
+  Time start_wait = std::chrono::seconds(10);
+  // Between tries at storage that fails.
+  Time storage_retry_least = std::chrono::milliseconds(20);
+  Time storage_retry_most = std::chrono::seconds(1);
   // For the platform's answer to a notice. It answers at once, so a connection that says nothing for the
   // least time is taken for broken and replaced, before the end that it was to tell is overdue; a platform
   // that is slow is given up to the most.
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -7,14 +7,17 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <cerrno>
 #include <charconv>
 #include <cmath>
 #include <span>
 
 #include "adopted.hpp"
+#include "after.hpp"
 #include "clock.hpp"
 #include "http_memory.hpp"
 #include "ring_buffer.hpp"
+#include "socket_error.hpp"
 
 namespace fennellane {
 
@@ -119,17 +122,8 @@
   void connect(StartCall call) {
     take(std::move(call));
     ++pool_.counters_.connects;
-    asio::error_code error;
-    const auto ip = asio::ip::make_address(call_.address.host, error);
-    const tcp::endpoint to(ip, call_.address.port);
-    if (!error) socket_.open(to.protocol(), error);
-    if (!error) socket_.non_blocking(true, error);
-    if (error || (::connect(socket_.native_handle(), to.data(), static_cast<socklen_t>(to.size())) != 0 &&
-                  errno != EINPROGRESS)) {
-      return later(Due::connect_failed);
-    }
     arm(std::min({pool_.config_.limits.connect, call_.timeout, call_.begin_within}));
-    await_connected();
+    begin_connecting();
   }
 
   bool busy() const { return busy_; }
@@ -155,8 +149,9 @@
       return read();
     }
     if (due_ != Due::nothing) asio::post(pool_.io_, [self = shared_from_this()] { self->end_due(); });
-    if (!socket_.is_open()) return;
+    if (due_ != Due::nothing && !socket_.is_open()) return;
     arm_at(timer_.expiry());
+    if (!socket_.is_open()) return begin_connecting();
     if (!up_) return await_connected();
     if (!out_.empty()) await_room();
     read();
@@ -209,7 +204,7 @@
   void take(StartCall call) {
     call_ = std::move(call);
     busy_ = true;
-    started_ = written_ = answering_ = false;
+    started_ = written_ = answering_ = short_ = false;
     due_ = Due::nothing;
     interim_ = 0;
     answer_.reset();
@@ -230,6 +225,7 @@
     timer_.async_wait([self = shared_from_this()](asio::error_code e) {
       if (e || !self->busy_ || self->timer_.expiry() > std::chrono::steady_clock::now()) return;
       if (self->answering_) return self->spoilt();
+      if (self->short_) return self->end_short();
       self->end(self->written_ ? Outcome::timeout : Outcome::connect_failed);
     });
   }
@@ -257,41 +253,92 @@
     }
   }
 
+  // The errno of a connect that has begun, or 0.
+  int connect_now() {
+    asio::error_code error;
+    const auto ip = asio::ip::make_address(call_.address.host, error);
+    if (error) return EINVAL;
+    const tcp::endpoint to(ip, call_.address.port);
+    if (!socket_.is_open()) socket_.open(to.protocol(), error);
+    if (!error) socket_.non_blocking(true, error);
+    if (error) return error.value();
+    const int result = ::connect(socket_.native_handle(), to.data(), static_cast<socklen_t>(to.size()));
+    return result == 0 || errno == EINPROGRESS || errno == EINTR ? 0 : errno;  // it goes on by itself
+  }
+  void begin_connecting() {
+    const int error = connect_now();
+    // Guards the host against being taken for failing where this machine was short of something. EAGAIN: of
+    // ports.
+    if (sort_socket_error(error) == SocketError::local_shortage || error == EAGAIN) return connect_again();
+    if (error != 0) return later(Due::connect_failed);
+    short_ = false;
+    await_connected();
+  }
+  void connect_again() {
+    short_ = true;
+    asio::error_code ignored;
+    socket_.close(ignored);
+    after_pause([](Connection& self) { self.begin_connecting(); });
+  }
+  // For an operation of this call that failed for want of something here.
+  template <class Action>
+  void after_pause(Action action) {
+    ++pool_.counters_.local_retries;
+    after(pool_.io_, pool_.config_.limits.local_retry,
+          [self = shared_from_this(), action, stream = call_.stream, attempt = call_.attempt] {
+            const bool same = self->call_.stream == stream && self->call_.attempt == attempt;
+            if (self->busy_ && same && self->due_ == Due::nothing) action(*self);
+          });
+  }
+
   void await_connected() {
     socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](asio::error_code e) {
       if (!self->socket_.is_open() || !self->busy_ || self->due_ != Due::nothing) return;  // given up
-      int failure = 0;
-      socklen_t size = sizeof failure;
-      if (e || ::getsockopt(self->socket_.native_handle(), SOL_SOCKET, SO_ERROR, &failure, &size) != 0 ||
-          failure != 0) {
-        return self->end(Outcome::connect_failed);
-      }
-      // Guards the window in which repeats are dropped against a connection that comes up behind its end.
-      if (steady_now() > self->begin_by_) return self->end(Outcome::connect_failed);
-      self->up_ = true;
-      self->socket_.set_option(tcp::no_delay(true), e);
-      self->arm_at(self->deadline_);
-      self->write();
-      self->read();
+      self->look_whether_connected(e);
     });
   }
+  void look_whether_connected(asio::error_code error) {
+    int failure = error.value();
+    socklen_t size = sizeof failure;
+    if (!error && ::getsockopt(socket_.native_handle(), SOL_SOCKET, SO_ERROR, &failure, &size) != 0) {
+      failure = errno;
+    }
+    if (sort_socket_error(failure) == SocketError::local_shortage) return connect_again();
+    if (failure != 0) return end(Outcome::connect_failed);
+    // Guards the window in which repeats are dropped against a connection that comes up behind its end.
+    if (steady_now() > begin_by_) return end(Outcome::connect_failed);
+    up_ = true;
+    socket_.set_option(tcp::no_delay(true), error);
+    arm_at(deadline_);
+    write();
+    read();
+  }
 
   void write() {
     started_ = true;
     asio::error_code error;
-    while (!out_.empty() && !error) {
+    SocketError sorted = SocketError::none;
+    while (!out_.empty() && (sorted == SocketError::none || sorted == SocketError::interrupted)) {
       const std::string_view data = out_.data();
       out_.consume(socket_.write_some(asio::buffer(data.data(), data.size()), error));
+      sorted = sort_socket_error(error);
     }
     written_ = out_.empty();
     if (written_) return;
-    if (error != asio::error::would_block) return later(Due::broken);
+    if (sorted == SocketError::local_shortage) return write_again();
+    if (sorted == SocketError::peer) return later(Due::broken);
     await_room();
   }
+  void write_again() {
+    after_pause([](Connection& self) {
+      if (self.socket_.is_open()) self.write();
+    });
+  }
   void await_room() {
     socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](asio::error_code e) {
       if (!self->busy_ || !self->socket_.is_open()) return;
-      if (e) return self->broken();
+      if (sort_socket_error(e) == SocketError::peer) return self->broken();
+      if (e) return self->write_again();
       self->write();
     });
   }
@@ -302,15 +349,31 @@
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](asio::error_code e) {
       if (!self->socket_.is_open()) return;
       if (!self->busy_) return self->drop_idle();
-      if (e) return self->broken();
-      const std::span<char> space = self->in_.space();
-      const std::size_t n = self->socket_.read_some(asio::buffer(space.data(), space.size()), e);
-      if (e == asio::error::would_block) return self->read();
-      self->in_.commit(n);
-      if (e && e != asio::error::eof) return self->broken();
-      self->heard(e == asio::error::eof);
+      self->read_now(e);
     });
   }
+  void read_now(asio::error_code error) {
+    std::size_t n = 0;
+    if (!error) {
+      const std::span<char> space = in_.space();
+      n = socket_.read_some(asio::buffer(space.data(), space.size()), error);
+    }
+    if (!error || error == asio::error::eof) {
+      in_.commit(n);
+      return heard(error == asio::error::eof);
+    }
+    switch (sort_socket_error(error)) {
+      case SocketError::interrupted:
+      case SocketError::not_ready:
+        return read();
+      case SocketError::local_shortage:
+        return after_pause([](Connection& self) {
+          if (self.socket_.is_open()) self.read_now({});
+        });
+      default:
+        return broken();
+    }
+  }
 
   // Guards against bytes that no call asked for being read as the answer to the next one.
   void drop_idle() {
@@ -378,6 +441,12 @@
     finish(ended, keep);
   }
 
+  // It could not even begin, and the host has nothing to do with it.
+  void end_short() {
+    finish(
+        CallEnded{call_.stream, call_.attempt, Outcome::not_sent, false, Time(0), true, {}, false, Time(0)},
+        false);
+  }
   void end(Outcome outcome, bool connection_only = false) {
     if (!busy_) return;
     finish(CallEnded{call_.stream, call_.attempt, outcome, false, Time(0), false, {}, connection_only, idle_},
@@ -418,6 +487,7 @@
   bool started_ = false;  // a byte of the call may be on its way
   bool written_ = false;
   bool answering_ = false;  // a byte of the answer has come
+  bool short_ = false;      // there is no connection yet for want of something here
   unsigned interim_ = 0;
 };
 
@@ -438,17 +508,20 @@
     return connection->reuse(std::move(call));
   }
   if (!make_room()) {
-    without_room_.push_back({call.stream, call.attempt});
-    asio::post(io_, [this] { end_without_room(); });
-    return;
+    return end_unsent(call.stream, call.attempt);
   }
   const auto connection = std::make_shared<Connection>(*this, call.host);
   calls_[call.stream] = connection;
   connection->connect(std::move(call));
 }
 
-void Upstream::end_without_room() {
-  for (const auto& [stream, attempt] : std::exchange(without_room_, {})) {
+void Upstream::end_unsent(StreamId stream, std::uint32_t attempt) {
+  unsent_.push_back({stream, attempt});
+  asio::post(io_, [this] { report_unsent(); });
+}
+
+void Upstream::report_unsent() {
+  for (const auto& [stream, attempt] : std::exchange(unsent_, {})) {
     report(CallEnded{stream, attempt, Outcome::not_sent, false, Time(0), true, {}, false, Time(0)});
   }
 }
@@ -508,7 +581,7 @@
     std::vector<Pointer> all;
     for (const auto& [stream, connection] : calls_) all.push_back(connection);
     for (const auto& [host, pool] : idle_) all.insert(all.end(), pool.begin(), pool.end());
-    archive(without_room_, all.size());
+    archive(unsent_, all.size());
     for (const Pointer& connection : all) {
       const int fd = connection->descriptor();
       archive(connection->host(), fd < 0 ? kNone : descriptors.add(fd));
@@ -520,7 +593,7 @@
 void Upstream::load(std::string_view bytes, DescriptorsIn& descriptors) {
   read_memory(bytes, "the upstream connections", [&](MemoryReader& archive) {
     std::size_t count = 0;
-    archive(without_room_, count);
+    archive(unsent_, count);
     for (; count > 0; --count) {
       HostId host = 0;
       std::uint32_t position = 0;
@@ -538,7 +611,7 @@
 }
 
 void Upstream::resume() {
-  if (!without_room_.empty()) asio::post(io_, [this] { end_without_room(); });
+  if (!unsent_.empty()) asio::post(io_, [this] { report_unsent(); });
   for (const auto& [stream, connection] : calls_) connection->resume();
   for (const auto& [host, pool] : idle_) {
     for (const Pointer& connection : pool) connection->resume();
--- a/src/http/upstream.hpp
+++ b/src/http/upstream.hpp
@@ -35,6 +35,8 @@
 
   // Each call ends once, by `on_end`, and never before this returns.
   void start(StartCall call);
+  // Of a call that is not to go out: it ends as not sent, in the loop's next turn.
+  void end_unsent(StreamId stream, std::uint32_t attempt);
   void cancel(const CancelCall& call);
   void hold_back(const HoldBack& call);
   void close_idle(HostId host);
@@ -60,7 +62,7 @@
   Pointer take_idle(HostId host);
   void forget_idle(const Connection& connection);
   bool make_room();
-  void end_without_room();
+  void report_unsent();
   void report(const CallEnded& end);
 
   asio::io_context& io_;
@@ -69,8 +71,8 @@
   OnEnd on_end_;
   std::unordered_map<StreamId, Pointer> calls_;  // out now
   std::map<HostId, std::vector<Pointer>> idle_;  // the most recently used last; none is empty
-  // Calls that found no descriptor, with their attempts; they end in the loop's next turn.
-  std::vector<std::pair<StreamId, std::uint32_t>> without_room_;
+  // Calls that do not go out, with their attempts; they end in the loop's next turn.
+  std::vector<std::pair<StreamId, std::uint32_t>> unsent_;
   // Counted by the connections themselves, of which the loop may hold some for longer than the pool lives.
   std::shared_ptr<std::size_t> connections_ = std::make_shared<std::size_t>(0);
 };
