A passing error of a client's connection no longer closes it

What callers saw: connection closed without an answer, though their request had been read, where recv or send failed with EINTR, ENOBUFS or ENOMEM once; by the protocol such a message is lost.

Cause: Downstream::Session took every error but EAGAIN for the client's end.

--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -6,15 +6,19 @@
 #include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
+#include <cerrno>
+#include <cstring>
 #include <span>
 #include <utility>
 
 #include "adopted.hpp"
+#include "after.hpp"
 #include "clock.hpp"
 #include "http_memory.hpp"
 #include "names.hpp"
 #include "number.hpp"
 #include "ring_buffer.hpp"
+#include "socket_error.hpp"
 
 namespace fennellane {
 
@@ -23,6 +27,20 @@
 namespace {
 
 constexpr std::size_t kMostAnswer = 512;  // more than the longest answer
+constexpr std::size_t kMostReason = 200;  // of a reason why the relay is not ready
+
+// Guards an option that has to be in force against a passing shortage. One that fails for good leaves a
+// connection that works, only less well.
+template <class Option>
+void set_option(tcp::socket& socket, const Option& option) {
+  constexpr int kTries = 4;
+  asio::error_code error;
+  for (int i = 0; i < kTries; ++i) {
+    socket.set_option(option, error);
+    if (sort_socket_error(error) == SocketError::none || sort_socket_error(error) == SocketError::peer)
+      return;
+  }
+}
 
 bool visible(std::string_view text) {
   return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 127; });
@@ -152,8 +170,7 @@
     if (lingering_) return;
     lingering_ = true;
     since_ = std::chrono::steady_clock::now();
-    asio::error_code ignored;
-    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    end_sending();
     timer_.expires_after(limits_.linger);
     await_lingered();
     tell();
@@ -176,6 +193,20 @@
   }
 
  private:
+  void end_sending() {
+    asio::error_code error;
+    socket_.shutdown(tcp::socket::shutdown_send, error);
+    if (sort_socket_error(error) != SocketError::local_shortage) return;
+    after_pause([](Session& self) { self.end_sending(); });
+  }
+  // For an operation that failed for want of something here.
+  template <class Action>
+  void after_pause(Action action) {
+    ++owner_.counters_.local_retries;
+    after(owner_.io_, limits_.local_retry, [self = shared_from_this(), action] {
+      if (self->socket_.is_open()) action(*self);
+    });
+  }
   void wait_for_request() {
     since_ = std::chrono::steady_clock::now();
     told_ = false;
@@ -212,17 +243,34 @@
     reading_ = true;
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](asio::error_code e) {
       self->reading_ = false;
-      if (!self->socket_.is_open()) return;
-      if (e) return self->drop(CloseReason::by_client);
-      const std::span<char> space = self->in_.space();
-      const std::size_t n = self->socket_.read_some(asio::buffer(space.data(), space.size()), e);
-      if (e == asio::error::would_block) return self->read();
-      if (e && e != asio::error::eof) return self->drop(CloseReason::by_client);
-      self->in_.commit(n);
-      self->ended_ = e == asio::error::eof;
-      self->process();
+      if (self->socket_.is_open()) self->read_now(e);
     });
   }
+  void read_now(asio::error_code error) {
+    std::size_t n = 0;
+    if (!error) {
+      const std::span<char> space = in_.space();
+      n = socket_.read_some(asio::buffer(space.data(), space.size()), error);
+    }
+    ended_ = error == asio::error::eof;
+    if (ended_ || !error) {
+      in_.commit(n);
+      return process();
+    }
+    switch (sort_socket_error(error)) {
+      case SocketError::interrupted:
+      case SocketError::not_ready:
+        return read();
+      case SocketError::local_shortage:
+        reading_ = true;
+        return after_pause([](Session& self) {
+          self.reading_ = false;
+          self.read_now({});
+        });
+      default:
+        return drop(CloseReason::by_client);
+    }
+  }
 
   void process() {
     if (lingering_) in_.clear();
@@ -316,13 +364,16 @@
   // As much as goes at once.
   void write_out() {
     asio::error_code error;
-    while (!out_.empty() && !error) {
+    SocketError sorted = SocketError::none;
+    while (!out_.empty() && (sorted == SocketError::none || sorted == SocketError::interrupted)) {
       const std::string_view data = out_.data();
       const std::size_t n = socket_.write_some(asio::buffer(data.data(), data.size()), error);
       out_.consume(n);
       taken_ += n;
+      sorted = sort_socket_error(error);
     }
-    if (error && error != asio::error::would_block) broken_ = true;
+    short_ = sorted == SocketError::local_shortage;
+    if (sorted == SocketError::peer) broken_ = true;
   }
 
   void flush_then_read() {
@@ -346,16 +397,21 @@
   }
   void await_room() {
     writing_ = true;
+    if (short_) return after_pause([](Session& self) { self.write_on(); });
     socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](asio::error_code e) {
-      self->writing_ = false;
       if (!self->socket_.is_open()) return;
-      if (e) return self->drop(CloseReason::by_client);
-      self->write_out();
-      // Requests that came while the answers had no room go on now.
-      if (!self->in_.empty() && !self->closing_) return self->process();
-      self->flush_then_read();
+      if (sort_socket_error(e) == SocketError::peer) return self->drop(CloseReason::by_client);
+      if (e) return self->after_pause([](Session& waiting) { waiting.write_on(); });
+      self->write_on();
     });
   }
+  void write_on() {
+    writing_ = false;
+    write_out();
+    // Requests that came while the answers had no room go on now.
+    if (!in_.empty() && !closing_) return process();
+    flush_then_read();
+  }
   void read_if_idle() {
     if (lingering_) in_.clear();
     if (in_.empty()) read();
@@ -388,6 +444,7 @@
   bool closing_ = false;  // nothing more is answered
   bool lingering_ = false;
   bool broken_ = false;
+  bool short_ = false;  // the newest write failed for want of something here
 };
 
 Downstream::Downstream(asio::io_context& io, const Config& config, Counters& counters, Log& log,
