A client that is gone before it is accepted no longer stops the event loop

What callers saw: nothing; every client, call and deadline stood still until the next connection came, for good where none came.

Cause: the library's accept, on a listener that does not block, falls through to poll() without a limit where accept4 fails with ECONNABORTED or EPROTO. The connection that had made the listener readable is gone then, so poll waits for the next one, in the one thread there is.

accept4 is called directly now, and its errors are sorted as accept(2) lists them: those of one connection lead to the next, a shortage to a pause. A connection that epoll has no room for is kept and entered after the pause.

--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -478,39 +478,70 @@
 void Downstream::accept() {
   acceptor_.async_wait(tcp::acceptor::wait_read, [this](asio::error_code error) {
     if (error == asio::error::operation_aborted) return;
-    // Guards those who come behind many others: one a turn is few, where each turn has much to do.
-    for (unsigned i = 0; i < config_.limits.accepts_a_turn; ++i) {
-      if (!accept_one(error)) return pause_accepting();
-      if (error) break;
-    }
-    accept();
+    if (error) return pause_accepting();
+    accept_some();
   });
 }
 
-// False where the next has to wait. An error that is no reason to: nobody knocks any more.
-bool Downstream::accept_one(asio::error_code& error) {
-  tcp::socket socket(io_);
-  if (!error) acceptor_.accept(socket, error);
-  // Who knocked may be gone again.
-  if (error == asio::error::would_block || error == asio::error::connection_aborted) return true;
+// Guards those who come behind many others: one a turn is few, where each turn has much to do.
+void Downstream::accept_some() {
+  for (unsigned i = 0; i < config_.limits.accepts_a_turn; ++i) {
+    switch (accept_one()) {
+      case Accepted::one:
+        break;
+      case Accepted::none_waits:
+        return accept();
+      case Accepted::must_pause:
+        return pause_accepting();
+    }
+  }
+  accept();
+}
+
+// The next connection's, or none with the errno. Not by the library's own call, which waits for the next
+// client where one is gone before it was accepted, and the loop with it.
+FileDescriptor Downstream::accept_descriptor(int& error) {
+  if (accepted_.get() >= 0) return std::exchange(accepted_, FileDescriptor());
+  FileDescriptor fd(::accept4(acceptor_.native_handle(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  error = fd.get() < 0 ? errno : 0;
+  return fd;
+}
+
+Downstream::Accepted Downstream::accept_one() {
+  int failure = 0;
+  FileDescriptor fd = accept_descriptor(failure);
+  if (is_of_one_connection(failure)) return Accepted::one;  // that one is gone, another may wait
+  if (sort_socket_error(failure) == SocketError::not_ready) return Accepted::none_waits;
   // Guards against spinning, or ending, where no descriptor is left.
+  if (failure != 0) {
+    if (!std::exchange(said_, true))
+      log_("downstream", std::string("cannot accept: ") + std::strerror(failure));
+    return Accepted::must_pause;
+  }
+  asio::error_code error;
+  tcp::socket socket(io_);
+  socket.assign(config_.listen.host.find(':') == std::string::npos ? tcp::v4() : tcp::v6(), fd.get(), error);
   if (error) {
-    if (!std::exchange(said_, true)) log_("downstream", "cannot accept: " + error.message());
-    return false;
+    accepted_ = std::move(fd);
+    return Accepted::must_pause;
   }
-  const bool room = make_room();
-  socket.set_option(tcp::no_delay(true), error);
+  fd.release();
   socket.non_blocking(true, error);
+  return enter(std::move(socket));
+}
+
+Downstream::Accepted Downstream::enter(tcp::socket socket) {
+  const bool room = make_room();
+  set_option(socket, tcp::no_delay(true));
   // Guards the system's memory against clients that ask on and read nothing.
-  socket.set_option(asio::socket_base::send_buffer_size(static_cast<int>(config_.limits.answer_buffer)),
-                    error);
+  set_option(socket, asio::socket_base::send_buffer_size(static_cast<int>(config_.limits.answer_buffer)));
   ++counters_.clients;
   const auto session = std::make_shared<Session>(*this, std::move(socket), next_++);
   sessions_.emplace(next_ - 1, session);
   places_.enter(next_ - 1, steady_now());
   session->start();
   if (!room) record_.note(record::Kind::no_place, 0, 0, {static_cast<std::uint32_t>(sessions_.size())});
-  return room;
+  return room ? Accepted::one : Accepted::must_pause;
 }
 
 void Downstream::close_surplus() {
@@ -530,7 +561,7 @@
   pause_.expires_after(config_.limits.accept_backoff);
   pause_.async_wait([this](asio::error_code error) {
     if (error) return;
-    if (make_room()) return accept();
+    if (make_room()) return accept_some();
     pause_accepting();
   });
 }
--- a/src/http/downstream.hpp
+++ b/src/http/downstream.hpp
@@ -48,7 +48,11 @@
  private:
   class Session;
   void accept();
-  bool accept_one(asio::error_code& error);
+  void accept_some();
+  enum class Accepted { one, none_waits, must_pause };
+  Accepted accept_one();
+  FileDescriptor accept_descriptor(int& error);
+  Accepted enter(asio::ip::tcp::socket socket);
   void pause_accepting();
   bool make_room();
   void close_surplus();
@@ -61,6 +65,7 @@
   OnOffer on_offer_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer pause_;
+  FileDescriptor accepted_;  // a connection that the event loop had no room for yet
   std::map<ReplyTo, std::shared_ptr<Session>> sessions_;
   admission::Places places_;
   ReplyTo next_ = 1;
