A start waits ten seconds for its address before it gives up, with a code of its own

What callers saw: the process ended with 2, as if its configuration were bad, where socket, bind or listen failed for a moment (the address still taken, no buffers).

Cause: Downstream::listen turned every error into ConfigError at once. It tries again every 10 ms now, for up to 10 s, while the rest of the relay goes on; only then the process ends, with code 3. A text that is no address is a ConfigError still.

--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -462,17 +462,37 @@
 Downstream::~Downstream() = default;
 
 void Downstream::listen() {
-  try {
-    const tcp::endpoint at(asio::ip::make_address(config_.listen.host), config_.listen.port);
-    acceptor_.open(at.protocol());
-    acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    acceptor_.bind(at);
-    acceptor_.non_blocking(true);
-    acceptor_.listen();
-  } catch (const std::exception& e) {
-    throw ConfigError("cannot listen on " + config_.listen.text() + ": " + e.what());
+  asio::error_code error;
+  const auto ip = asio::ip::make_address(config_.listen.host, error);
+  if (error) throw ConfigError("cannot listen on " + config_.listen.text() + ": " + error.message());
+  listen_at({ip, config_.listen.port}, steady_now() + config_.limits.start_wait);
+}
+
+bool Downstream::open_listener(const tcp::endpoint& at, asio::error_code& error) {
+  acceptor_.open(at.protocol(), error);
+  if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor_.bind(at, error);
+  if (!error) acceptor_.non_blocking(true, error);
+  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (!error) return true;
+  asio::error_code ignored;
+  acceptor_.close(ignored);
+  return false;
+}
+
+void Downstream::listen_at(const tcp::endpoint& at, Time give_up_at) {
+  asio::error_code error;
+  if (open_listener(at, error)) return accept();
+  const std::string what = "cannot listen on " + config_.listen.text() + ": " + error.message();
+  const SocketError sorted = sort_socket_error(error);
+  if (sorted == SocketError::peer || sorted == SocketError::not_ready || steady_now() >= give_up_at) {
+    throw ListenError(what);
   }
-  accept();
+  if (!std::exchange(said_, true)) log_("downstream", what);
+  pause_.expires_after(config_.limits.accept_backoff);
+  pause_.async_wait([this, at, give_up_at](asio::error_code e) {
+    if (!e) listen_at(at, give_up_at);
+  });
 }
 
 void Downstream::accept() {
--- a/src/http/downstream.hpp
+++ b/src/http/downstream.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <stdexcept>
 #include <variant>
 
 #include "config.hpp"
@@ -23,6 +24,12 @@
 // The message that a request hands in, or the status that refuses it.
 std::variant<Offered, unsigned> read_offer(HttpReader& request, const Config& config);
 
+// The address cannot be had, in the time that a start waits for it.
+class ListenError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
 class Downstream {
  public:
   using OnOffer = std::function<void(Offered)>;  // answers before it returns
@@ -30,7 +37,9 @@
              record::Recorder& record, OnOffer on_offer);
   ~Downstream();
 
-  void listen();  // throws ConfigError where the address cannot be had
+  // Takes connections as soon as the address can be had. Throws ConfigError where it is none; where it stays
+  // taken, or is not this machine's, ListenError leaves the loop.
+  void listen();
   // The listener, the connections and what has been read and not yet written on them, for another process.
   // Between two handlers only.
   std::string save(DescriptorsOut& descriptors);
@@ -47,6 +56,8 @@
 
  private:
   class Session;
+  bool open_listener(const asio::ip::tcp::endpoint& at, asio::error_code& error);
+  void listen_at(const asio::ip::tcp::endpoint& at, Time give_up_at);
   void accept();
   void accept_some();
   enum class Accepted { one, none_waits, must_pause };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -26,6 +26,7 @@
 namespace {
 
 constexpr int kBadConfig = 2;
+constexpr int kNoListener = 3;
 
 using fennellane::record::Fate;
 const std::map<std::string, Fate> kEndings = {{"in-time", Fate::in_time},
@@ -121,6 +122,9 @@
   } catch (const fennellane::ConfigError& e) {
     std::fprintf(stderr, "fennellane: %s\n", e.what());
     return kBadConfig;
+  } catch (const fennellane::ListenError& e) {
+    std::fprintf(stderr, "fennellane: %s\n", e.what());
+    return kNoListener;
   }
 }
 
