--- a/include/starlinghook/delivery.hpp
+++ b/include/starlinghook/delivery.hpp
@@ -156,8 +156,13 @@
 struct RestsCapped {
   std::vector<EndpointId> kept;
 };
+// Whether the caller can record attempts. While it can't, no message is sent whose effect must not be
+// doubled: after a restart nobody would know of the attempt.
+struct RecordingChanged {
+  bool available = true;
+};
 using Event = std::variant<MessageArrived, MessageDropped, AttemptEnded, ProbeEnded, ListChanged, ListFailed,
-                           TimerFired, Stopping, RestsCapped>;
+                           TimerFired, Stopping, RestsCapped, RecordingChanged>;
 
 // --- Actions
 struct Send {
--- a/src/core/admission_outcome.hpp
+++ b/src/core/admission_outcome.hpp
@@ -16,10 +16,11 @@
   unknown,    // no such destination
   left,       // its client had gone
   malformed,
-  other,  // /up and the like
-  shed,   // turned away before work was put into it
+  other,    // /up and the like
+  shed,     // turned away before work was put into it
+  storage,  // the journal cannot be written
 };
-constexpr std::size_t kAdmissionOutcomes = 11;
+constexpr std::size_t kAdmissionOutcomes = 12;
 
 // How a connection of a client ended.
 enum class CloseReason : std::uint8_t {
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -16,7 +16,10 @@
                                                 : Time(0)),
       forwarder_(settings),
       next_(next_stream) {
-  for (const starlinghook::ClassSettings& c : settings.classes) aims_.push_back(c.aim);
+  for (const starlinghook::ClassSettings& c : settings.classes) {
+    aims_.push_back(c.aim);
+    repeatable_.push_back(c.effect == starlinghook::Effect::safe);
+  }
 }
 
 std::vector<Effect> Reducer::reduce(Time now, const Input& input) {
@@ -33,7 +36,8 @@
 }
 
 // --- Inputs
-void Reducer::on(const Started&) {
+void Reducer::on(const Started& s) {
+  next_ = std::max(next_, s.next_stream);
   forwarder_.start(now_, actions_);
   for (const starlinghook::Action& action : std::exchange(actions_, {})) {
     std::visit([this](const auto& a) { carry(a); }, action);
@@ -63,6 +67,7 @@
   }
   const AdmissionOutcome admission = streams_.size() - given_up_ >= limits_.held ? AdmissionOutcome::full
                                      : streams_.size() >= limits_.unnoticed      ? AdmissionOutcome::unnoticed
+                                     : !storage_writable_                        ? AdmissionOutcome::storage
                                      : !o.journal_has_room ? AdmissionOutcome::journal_full
                                                            : AdmissionOutcome::taken;
   if (admission != AdmissionOutcome::taken) {
@@ -73,7 +78,10 @@
   const StreamId id = next_++;
   Stream& stream = add(id, o.id, o.body);
   stream.deadline = now_ + o.time_left;
-  if (o.message_class < aims_.size()) stream.late_at = now_ + aims_[o.message_class];
+  if (o.message_class < aims_.size()) {
+    stream.late_at = now_ + aims_[o.message_class];
+    stream.repeatable = repeatable_[o.message_class];
+  }
   JournalEntry entry;
   entry.id = o.id;
   entry.message_class = o.message_class;
@@ -110,6 +118,7 @@
   if (e.message_class >= aims_.size()) {
     return give_up(r.stream, Verdict::undeliverable, Time(0), starlinghook::GiveUpReason::none);
   }
+  stream.repeatable = repeatable_[e.message_class];
   starlinghook::MessageArrived arrived;
   arrived.id = r.stream;
   arrived.message_class = e.message_class;
@@ -243,6 +252,35 @@
   end(it);
 }
 
+void Reducer::on(const NotRecorded& n) {
+  const auto it = streams_.find(n.stream);
+  if (it == streams_.end()) return;
+  Stream& stream = it->second;
+  --counters_.taken;
+  ++counters_.refused;
+  decide(starlinghook::MessageDropped{n.stream});
+  if (stream.out) {  // the call that was to follow did not go out
+    --cluster_.at(stream.host).out;
+    starlinghook::AttemptEnded ended;
+    ended.id = n.stream;
+    ended.attempt = stream.attempts - 1;
+    ended.endpoint = stream.host;
+    ended.outcome = Outcome::not_sent;
+    ended.finished = true;
+    ended.no_slot = true;
+    decide(ended);
+    forget(ended.endpoint);
+  }
+  given_up_ -= stream.given_up ? 1 : 0;
+  by_id_.erase(stream.id);
+  streams_.erase(it);
+}
+
+void Reducer::on(const StorageChanged& s) {
+  storage_writable_ = s.writable;
+  decide(starlinghook::RecordingChanged{s.writable});
+}
+
 void Reducer::on(const TimerDue&) {
   timer_ = Time::max();
   decide(starlinghook::TimerFired{});
@@ -320,7 +358,7 @@
   stream.out = true;
   const std::uint32_t attempt = stream.attempts++;
   ++counters_.sent;
-  effect(RecordAttempt{a.id, host.zone});
+  effect(RecordAttempt{a.id, attempt, host.zone, !stream.repeatable});
   effect(StartCall{a.id, attempt, a.endpoint, host.address, stream.id, stream.body, a.timeout, a.most_idle,
                    a.begin_within});
 }
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -28,7 +28,9 @@
 using ReplyTo = std::uint64_t;  // where the answer to a request goes
 
 // --- Inputs
-struct Started {};
+struct Started {
+  StreamId next_stream = 0;  // streams below it are of earlier lives
+};
 struct Offered {  // a message that a client hands in
   ReplyTo reply = 0;
   std::string id;
@@ -65,6 +67,14 @@
 struct NoticeTaken {
   StreamId stream = 0;
 };
+// A message whose RecordTaken could not be carried out, and whose client has heard a refusal: as if it had
+// never come.
+struct NotRecorded {
+  StreamId stream = 0;
+};
+struct StorageChanged {
+  bool writable = true;
+};
 struct TimerDue {};
 struct StopAsked {
   Time last_call{};  // no call may last longer
@@ -75,8 +85,8 @@
 struct FleetHeard {
   fleet::Input input;
 };
-using Input = std::variant<Started, Offered, Restored, CallEnded, ClusterChanged, NoticeTaken, TimerDue,
-                           StopAsked, FleetPlanned, FleetHeard>;
+using Input = std::variant<Started, Offered, Restored, CallEnded, ClusterChanged, NoticeTaken, NotRecorded,
+                           StorageChanged, TimerDue, StopAsked, FleetPlanned, FleetHeard>;
 
 // --- Effects
 struct RecordTaken {
@@ -86,7 +96,9 @@
 };
 struct RecordAttempt {
   StreamId stream = 0;
+  std::uint32_t attempt = 0;
   std::uint32_t zone = 0;
+  bool required = true;  // the call may only go out once this is recorded
 };
 struct RecordOutcome {
   StreamId stream = 0;
@@ -172,6 +184,9 @@
   // Null where no role of the fleet is sought.
   const fleet::Fleet* fleet() const { return fleet_ ? &*fleet_ : nullptr; }
 
+  // What a refused client is told to wait.
+  Time refused_again() const { return refused_again_; }
+
   std::size_t streams() const { return streams_.size(); }
   std::size_t hosts() const { return cluster_.size(); }
   // All that is remembered of streams, hosts and ids, the module's part included.
@@ -185,7 +200,8 @@
     std::string id;
     Body body;
     std::uint32_t attempts = 0;
-    HostId host = 0;  // of the newest attempt; in the cluster as long as it is out
+    bool repeatable = false;  // any number of times
+    HostId host = 0;          // of the newest attempt; in the cluster as long as it is out
     bool out = false;
     bool given_up = false;
     Time late_at = Time::max();  // its aim is over; not known of one from an earlier life
@@ -204,6 +220,8 @@
   void on(const CallEnded&);
   void on(const ClusterChanged&);
   void on(const NoticeTaken&);
+  void on(const NotRecorded&);
+  void on(const StorageChanged&);
   void on(const TimerDue&);
   void on(const StopAsked&);
   void on(const FleetPlanned&);
@@ -240,7 +258,8 @@
 
   const Limits& limits_;
   Counters& counters_;
-  std::vector<Time> aims_;  // by class
+  std::vector<Time> aims_;        // by class
+  std::vector<bool> repeatable_;  // likewise
   const Time refused_again_;
   starlinghook::Forwarder forwarder_;
   Time now_{};
@@ -263,7 +282,8 @@
   std::map<HostId, Host> cluster_;
   HostId next_host_ = 0;
   std::vector<bool> destinations_;  // those that discovery has ever named
-  bool listed_ = false;             // discovery has told a whole list in this life
+  bool storage_writable_ = true;
+  bool listed_ = false;  // discovery has told a whole list in this life
   Time timer_ = Time::max();
   std::optional<fleet::Fleet> fleet_;
   std::string fleet_memory_;  // of the process before this one, until the plan is known
--- a/src/core/reducer_memory.cpp
+++ b/src/core/reducer_memory.cpp
@@ -7,13 +7,13 @@
 namespace fennellane {
 namespace {
 
-constexpr std::uint32_t kMemoryVersion = 6;
+constexpr std::uint32_t kMemoryVersion = 7;
 
 }  // namespace
 
 template <class Archive>
 void Reducer::Stream::serialize(Archive& archive) {
-  archive(id, attempts, host, out, given_up, late_at, deadline);
+  archive(id, attempts, repeatable, host, out, given_up, late_at, deadline);
 }
 
 template <class Archive>
--- a/src/delivery_policy.cpp
+++ b/src/delivery_policy.cpp
@@ -339,6 +339,7 @@
   }
 
   void on(const Stopping& e) { stop_at_ = e.at; }
+  void on(const RecordingChanged& e) { recording_ = e.available; }
   void on(const RestsCapped& e) { kept_ = {e.kept.begin(), e.kept.end()}; }
 
   void on(const TimerFired&) {
@@ -710,6 +711,7 @@
     if (m == nullptr) return open;
     open = std::max(open, m->not_before);
     if (m->attempts >= s_.max_attempts) return kNever;
+    if (!recording_ && m->rules->effect != Effect::safe) return kNever;
     if (open + answer_time(r) > m->deadline) return kNever;
     // Guards against calls cut off by the end of the process, whose effect nobody would know.
     if (open + (m->rules->effect == Effect::safe ? answer_time(r) : stall_time(r)) > stop_at_) return kNever;
@@ -1061,6 +1063,7 @@
   int list_failures_ = 0;
   Time next_ask_ = kNever, due_ = kNever, timer_at_ = kNever, stop_at_ = kNever;
   std::set<EndpointId> kept_;  // that may not rest
+  bool recording_ = true;      // attempts, by the caller
 };
 
 Forwarder::Forwarder(const Settings& settings) : policy_(std::make_unique<Policy>(settings)) {}
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -320,7 +320,8 @@
   void handle() {
     if (request_.target() == "/up") {
       if (request_.method() != "GET") return answer(405, "Allow: GET\r\n");
-      return answer(owner_.ready_ ? 200 : 503, "", AdmissionOutcome::other);
+      if (owner_.ready_) return answer(200, "", AdmissionOutcome::other);
+      return answer(503, "X-Not-Ready: " + owner_.not_ready_ + "\r\n", AdmissionOutcome::other);
     }
     std::variant<Offered, unsigned> offer = read_offer(request_, owner_.config_);
     if (const unsigned* refused = std::get_if<unsigned>(&offer)) {
@@ -461,6 +462,12 @@
                config.limits.silent_first, config.limits.newcomer}) {}
 Downstream::~Downstream() = default;
 
+void Downstream::set_not_ready(std::string_view reason) {
+  not_ready_ = reason.substr(0, kMostReason);
+  std::replace_if(
+      not_ready_.begin(), not_ready_.end(), [](char c) { return c < ' ' || c > '~'; }, ' ');
+}
+
 void Downstream::listen() {
   asio::error_code error;
   const auto ip = asio::ip::make_address(config_.listen.host, error);
--- a/src/http/downstream.hpp
+++ b/src/http/downstream.hpp
@@ -8,6 +8,8 @@
 #include <map>
 #include <memory>
 #include <stdexcept>
+#include <string>
+#include <string_view>
 #include <variant>
 
 #include "config.hpp"
@@ -50,6 +52,8 @@
 
   void answer(const Answer& answer);
   void set_ready() { ready_ = true; }
+  // What GET /up tells as long as the relay is not ready.
+  void set_not_ready(std::string_view reason);
   void send_away();   // answers on, but keeps no connection
   void close_idle();  // those on which no request is being read
   std::size_t connections() const { return sessions_.size(); }
@@ -81,6 +85,7 @@
   admission::Places places_;
   ReplyTo next_ = 1;
   bool ready_ = false;
+  std::string not_ready_ = "starting";
   bool said_ = false;  // that a connection cannot be accepted
   bool sending_away_ = false;
 };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -60,7 +60,7 @@
       if (journal_->size() != journal_bytes || journal_->cut_bytes() > 0) {
         throw fennellane::JournalError("the journal is not as the old process left it");
       }
-      relay_.emplace(config_, state_, read_, fennellane::FileDescriptor(), std::move(*journal_), place_);
+      relay_.emplace(config_, state_, read_, place_, std::move(*journal_));
       relay_->load(state, descriptors);
     });
   }
@@ -114,9 +114,7 @@
     fennellane::Config config = read();
     if (config.upgrade && watcher < 0) return upgrade::watch_over(command, state);
     if (watcher >= 0) upgrade::die_with(watcher);
-    fennellane::FileDescriptor lock = fennellane::lock_journal(state, config.limits.lock_wait);
-    fennellane::Journal journal(state, config.limits.journal_file);
-    fennellane::Relay relay(std::move(config), state, read, std::move(lock), std::move(journal), place);
+    fennellane::Relay relay(std::move(config), state, read, place);
     relay.run();
     return 0;
   } catch (const fennellane::ConfigError& e) {
--- a/src/record/account.cpp
+++ b/src/record/account.cpp
@@ -75,6 +75,8 @@
       return "no message";
     case AdmissionOutcome::shed:
       return "turned away under pressure";
+    case AdmissionOutcome::storage:
+      return "the journal cannot be written";
   }
   return "";
 }
@@ -118,6 +120,8 @@
       s.calls = std::max(s.calls, e.n[1]);
       s.clients = std::max(s.clients, e.n[2]);
       return;
+    case Kind::storage:
+      return mark(e.code == 0 ? "storage writes again" : "storage fails");
     case Kind::no_place:
       ++s.no_place;
       return;
--- a/src/record/entry.hpp
+++ b/src/record/entry.hpp
@@ -29,8 +29,9 @@
   given_up,  // subject: the stream; code: Verdict; n: starlinghook::GiveUpReason, ms until it may come again
   ended,     // subject: the stream; code: End
   host,      // subject: the host; code: its condition; n: destination, rate in thousandths; name: its id
+  storage,   // began to fail, or works again; code: the errno, or 0
 };
-constexpr std::uint16_t kKinds = 16;
+constexpr std::uint16_t kKinds = 17;
 
 enum class End : std::uint16_t { delivered, withdrawn, noticed };
 constexpr std::uint16_t kEnds = 3;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -16,28 +16,31 @@
 namespace fennellane {
 namespace {
 
-using std::chrono::duration_cast;
-using std::chrono::system_clock;
-
-WallTime wall_now() { return duration_cast<WallTime>(system_clock::now().time_since_epoch()); }
+// A request to a relay that has not read its journal yet.
+Answer refusal_before_start(const Offered& offer, Time again) {
+  return Answer{offer.reply, Reply::refused, again, AdmissionOutcome::storage, 0};
+}
 
 }  // namespace
 
 Relay::Relay(Config config, const std::string& state_folder, std::function<Config()> reread,
-             FileDescriptor lock, Journal journal, ProcessPlace place)
+             ProcessPlace place, Journal journal)
     : config_(std::move(config)),
       reread_(std::move(reread)),
       state_folder_(state_folder),
       discovery_address_(config_.discovery),
       io_(1),
       log_(config_.name, config_.log),
-      lock_(std::move(lock)),
       journal_(std::move(journal)),
       reducer_(config_.boot.settings, config_.limits, journal_.next_stream(), counters_),
       upstream_(io_, config_, counters_, [this](const CallEnded& ended) { input(ended); }),
       notices_(io_, config_, counters_, log_, [this](StreamId stream) { input(NoticeTaken{stream}); }),
       downstream_(io_, config_, counters_, log_, record_,
                   [this](Offered offer) {
+                    if (!storage_open_) {
+                      ++counters_.refused;
+                      return downstream_.answer(refusal_before_start(offer, reducer_.refused_again()));
+                    }
                     offer.journal_has_room = journal_.has_room(offer.id.size(), offer.body->size());
                     input(offer);
                   }),
@@ -46,6 +49,9 @@
       timer_(io_),
       stop_timer_(io_),
       signals_(io_, {SIGTERM, SIGINT, SIGHUP, SIGUSR1, SIGUSR2}),
+      started_(steady_now()),
+      storage_timer_(io_),
+      storage_retry_(config_.limits.storage_retry_least, config_.limits.storage_retry_most, config_.seed),
       place_(std::move(place)),
       old_timer_(io_) {}
 
@@ -67,9 +73,15 @@
   if (upgrade_) upgrade::remove_run_file(state_folder_);
 }
 
+// Listens at once, so that clients hear why they are refused while the journal cannot be read.
 void Relay::begin() {
   downstream_.listen();
-  input(Started{});
+  open_storage();
+}
+
+// What can only begin once the journal has been read.
+void Relay::serve() {
+  input(Started{journal_.next_stream()});
   if (!config_.known.hosts.empty()) take_list(config_.known, config_.source != MembershipSource::list);
   restore();
   join_fleet();
@@ -83,6 +95,7 @@
   }
   take_source(config_);
   upgrade();
+  if (std::exchange(reload_waits_, false)) reload();
 }
 
 void Relay::restore() {
@@ -91,7 +104,7 @@
   const auto held = journal_.held();  // a copy: replaying writes to it
   for (const auto& [stream, entry] : held) {
     // Read for each message: what those before it took must not be added to its time.
-    const WallTime now = wall_now();
+    const Time now = wall_now();
     Restored restored{stream, entry};
     restored.time_left = std::max(Time(0), entry.deadline - now);
     restored.out_age = std::max(Time(0), now - entry.out_since);
@@ -107,26 +120,18 @@
 void Relay::input(const Input& input) {
   record_.note(input);
   for (Effect& effect : reducer_.reduce(steady_now(), input)) {
-    record_.note(effect);
+    if (!is_dropped(effect)) record_.note(effect);
     std::visit([this](auto& e) { carry(e); }, effect);
   }
+  tell_storage();
 }
 
-void Relay::carry(RecordTaken& e) {
-  e.entry.deadline = wall_now() + e.time_left;
-  journal_.taken(e.stream, std::move(e.entry));
-}
-void Relay::carry(RecordAttempt& e) { journal_.attempt_started(e.stream, wall_now(), e.zone); }
-void Relay::carry(RecordOutcome& e) { journal_.attempt_ended(e.stream, e.may_have_run); }
-void Relay::carry(RecordGivenUp& e) { journal_.given_up(e.stream, e.verdict, e.again); }
-void Relay::carry(RecordEnded& e) { journal_.ended(e.stream); }
-void Relay::carry(Answer& e) { downstream_.answer(e); }
-void Relay::carry(StartCall& e) { upstream_.start(std::move(e)); }
 void Relay::carry(CancelCall& e) { upstream_.cancel(e); }
 void Relay::carry(HoldBack& e) { upstream_.hold_back(e); }
 void Relay::carry(CloseIdle& e) { upstream_.close_idle(e.host); }
 void Relay::carry(RetireHost& e) { upstream_.retire(e.host); }
 void Relay::carry(PostNotice& e) {
+  if (e.stream == unrecorded_stream_) return;  // its client hears a refusal instead
   if (config_.platform) return notices_.post(e);
   // Without a platform the log is all that hears of it, and the end is recorded right after.
   ++counters_.unnoticed;
@@ -230,7 +235,14 @@
   upgrade_asked();
 }
 
+// For the first time only once the journal can be written, since nothing can be taken on before.
 void Relay::set_ready() {
+  if (!ready_ && journal_.failure()) {
+    downstream_.set_not_ready(journal_.failure()->text());
+    ready_waits_for_storage_ = true;
+    return;
+  }
+  ready_waits_for_storage_ = false;
   const bool first = !std::exchange(ready_, true);
   if (first) record_.note(record::Kind::ready, 0, 0);
   downstream_.set_ready();
@@ -288,6 +300,10 @@
 // A new file is taken whole or not at all: one that cannot be used changes nothing. What is held, out or owed
 // goes on, and discovery's list stands until the new address has sent one.
 void Relay::reload() {
+  if (!storage_open_) {
+    reload_waits_ = true;
+    return;
+  }
   reloaded_ = true;
   record_.note(record::Kind::signalled, 0, SIGHUP);
   try {
@@ -324,7 +340,7 @@
   const Limits& limits = config_.limits;
   log_("", "stopping");
   if (upgrade_) upgrade_->call_off("the relay is to stop");
-  input(StopAsked{steady_now() + limits.stop_total - limits.stop_margin});
+  if (storage_open_) input(StopAsked{steady_now() + limits.stop_total - limits.stop_margin});
   downstream_.send_away();
   const fleet::Fleet* const fleet = reducer_.fleet();
   const bool planned = fleet && fleet->slot() && fleet->slot()->step() == drain::Slot::Step::out;
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -24,6 +24,7 @@
 #include "old_process.hpp"
 #include "recorder.hpp"
 #include "reducer.hpp"
+#include "retry_pause.hpp"
 #include "signals.hpp"
 #include "upstream.hpp"
 #include "whole_list.hpp"
@@ -38,13 +39,14 @@
 
 class Relay : private upgrade::Upgradable {
  public:
-  // `lock`: on the state folder; none for one that takes over. `reread` gives the configuration as it stands
-  // now; throws ConfigError.
-  Relay(Config config, const std::string& state_folder, std::function<Config()> reread, FileDescriptor lock,
-        Journal journal, ProcessPlace place);
+  // `reread` gives the configuration as it stands now; throws ConfigError. `journal`: of one that takes over;
+  // all others open theirs as they run. Throws std::system_error where the system has no room for an event
+  // loop.
+  Relay(Config config, const std::string& state_folder, std::function<Config()> reread, ProcessPlace place,
+        Journal journal = {});
 
   // Until SIGTERM or SIGINT, and a while after it, or until another process has taken over. Throws
-  // ConfigError, JournalError.
+  // ConfigError, ListenError, and JournalError where the state folder stays unusable or is another process's.
   void run();
 
   // Instead of a fresh start: stands where another process stood, with its descriptors, once it runs. The
@@ -66,6 +68,11 @@
   template <class Archive>
   void remember_parts(Archive& archive);
   void begin();
+  void serve();
+  void open_storage();
+  bool is_dropped(const Effect& effect) const;
+  void tell_storage();
+  void repair_storage_later();
   void go_on();
   void old_ended();
   void upgrade();
@@ -141,6 +148,17 @@
   Signals signals_;
   std::vector<StreamId> unheard_;  // undelivered ends without a platform, recorded in the loop's next turn
   Time noted_cpu_{};               // of this process, at the last beat
+  const Time started_;
+  asio::steady_timer storage_timer_;  // the next try at storage that fails
+  RetryPause storage_retry_;
+  bool storage_open_ = false;     // the journal has been read
+  bool storage_writable_ = true;  // as the reducer has been told
+  Time storage_failing_since_{};
+  bool open_failure_said_ = false;
+  bool ready_waits_for_storage_ = false;
+  bool reload_waits_ = false;                   // for the journal to be read
+  std::optional<StreamId> unrecorded_stream_;   // of the effects that are being carried out
+  std::optional<StreamId> unrecorded_attempt_;  // likewise
   bool ready_ = false;
   bool stopping_ = false;
   bool stop_waits_ = false;     // for a slot of the disruption budget
--- /dev/null
+++ b/src/relay/relay_storage.cpp
@@ -0,0 +1,139 @@
+// The relay's part in storage: opening the journal, carrying records out, and going on while storage fails.
+#include <cerrno>
+#include <utility>
+
+#include "clock.hpp"
+#include "relay.hpp"
+
+namespace fennellane {
+namespace {
+
+// Whether a state folder that cannot be opened with this errno is one that an operator has to see to.
+bool is_unusable(int error) {
+  switch (error) {
+    case ENOENT:
+    case ENOTDIR:
+    case EACCES:
+    case EPERM:
+    case EROFS:
+    case ELOOP:
+    case ENAMETOOLONG:
+      return true;
+    default:
+      return false;
+  }
+}
+
+std::string seconds_text(Time span) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.1f s", static_cast<double>(span.count()) / 1e6);
+  return text;
+}
+
+}  // namespace
+
+// Tries until the journal has been read. A folder that is no use gets its time, since a disk may be about to
+// be mounted; another process's, and one whose file is no journal, does not get better by itself.
+void Relay::open_storage() {
+  const Limits& limits = config_.limits;
+  try {
+    if (lock_.get() < 0) lock_ = lock_journal(state_folder_, Time(0));
+    journal_ = Journal(state_folder_, limits.journal_file);
+  } catch (const JournalError& e) {
+    const Time waited = steady_now() - started_;
+    const bool locked = e.error() == EWOULDBLOCK;
+    if (e.error() == 0 || (locked && waited >= limits.lock_wait) ||
+        (is_unusable(e.error()) && waited >= limits.start_wait)) {
+      throw;
+    }
+    if (!std::exchange(open_failure_said_, true)) log_("storage", std::string("not yet open: ") + e.what());
+    downstream_.set_not_ready(e.what());
+    storage_timer_.expires_after(storage_retry_.next());
+    storage_timer_.async_wait([this](asio::error_code error) {
+      if (!error) open_storage();
+    });
+    return;
+  }
+  if (open_failure_said_) log_("storage", "open after " + seconds_text(steady_now() - started_));
+  storage_retry_.reset();
+  storage_open_ = true;
+  if (!stopping_) serve();
+}
+
+void Relay::carry(RecordTaken& e) {
+  e.entry.deadline = wall_now() + e.time_left;
+  if (!journal_.taken(e.stream, std::move(e.entry))) unrecorded_stream_ = e.stream;
+}
+void Relay::carry(RecordAttempt& e) {
+  if (e.stream == unrecorded_stream_) return;
+  if (journal_.attempt_started(e.stream, wall_now(), e.zone)) return;
+  if (e.required) {
+    unrecorded_attempt_ = e.stream;
+  } else {
+    journal_.attempt_started_unrecorded(e.stream, wall_now(), e.zone);
+  }
+}
+void Relay::carry(RecordOutcome& e) { journal_.attempt_ended(e.stream, e.may_have_run); }
+void Relay::carry(RecordGivenUp& e) {
+  if (e.stream != unrecorded_stream_) journal_.given_up(e.stream, e.verdict, e.again);
+}
+void Relay::carry(RecordEnded& e) { journal_.ended(e.stream); }
+
+// What belongs to a message that could not be recorded is not carried out.
+bool Relay::is_dropped(const Effect& effect) const {
+  if (!unrecorded_stream_) return false;
+  const auto* const call = std::get_if<StartCall>(&effect);
+  const auto* const given_up = std::get_if<RecordGivenUp>(&effect);
+  return (call && call->stream == unrecorded_stream_) || (given_up && given_up->stream == unrecorded_stream_);
+}
+
+// A client whose message could not be recorded hears a refusal.
+void Relay::carry(Answer& e) {
+  if (e.stream != 0 && e.stream == unrecorded_stream_) {
+    ++counters_.storage_refused;
+    e = Answer{e.reply, Reply::refused, reducer_.refused_again(), AdmissionOutcome::storage, 0};
+  } else if (e.admission == AdmissionOutcome::storage) {
+    ++counters_.storage_refused;
+  }
+  downstream_.answer(e);
+}
+void Relay::carry(StartCall& e) {
+  if (e.stream == unrecorded_stream_) return;
+  if (std::exchange(unrecorded_attempt_, std::nullopt) != e.stream) return upstream_.start(std::move(e));
+  ++counters_.storage_unsent;
+  upstream_.end_unsent(e.stream, e.attempt);
+}
+
+// Behind the effects of each input: what of them could not be recorded, and whether storage has changed.
+void Relay::tell_storage() {
+  if (const auto stream = std::exchange(unrecorded_stream_, std::nullopt)) input(NotRecorded{*stream});
+  const bool writable = !journal_.failure();
+  if (std::exchange(storage_writable_, writable) == writable) return;
+  if (writable) {
+    log_("storage", "writes again after " + seconds_text(steady_now() - storage_failing_since_) + ", " +
+                        std::to_string(counters_.storage_refused) + " messages refused so far");
+    storage_retry_.reset();
+    storage_timer_.cancel();
+  } else {
+    ++counters_.storage_failures;
+    storage_failing_since_ = steady_now();
+    log_("storage", "fails: " + journal_.failure()->text());
+    repair_storage_later();
+  }
+  record_.note(record::Kind::storage, 0,
+               static_cast<std::uint16_t>(writable ? 0 : journal_.failure()->error));
+  input(StorageChanged{writable});
+  if (writable && ready_waits_for_storage_) set_ready();
+}
+
+void Relay::repair_storage_later() {
+  storage_timer_.expires_after(storage_retry_.next());
+  storage_timer_.async_wait([this](asio::error_code error) {
+    if (error || !journal_.failure()) return;
+    journal_.repair();
+    tell_storage();
+    if (journal_.failure()) repair_storage_later();
+  });
+}
+
+}  // namespace fennellane
--- a/src/relay/relay_upgrade.cpp
+++ b/src/relay/relay_upgrade.cpp
@@ -15,7 +15,7 @@
 namespace fennellane {
 namespace {
 
-constexpr std::uint32_t kMemoryVersion = 3;
+constexpr std::uint32_t kMemoryVersion = 4;
 
 std::string ms_text(Time span) {
   char text[32];
@@ -76,6 +76,7 @@
     notices_.load(notices);
   });
   adopted_ = true;
+  storage_open_ = true;
 }
 
 // Clients first: they are the ones who wait.
