Deadlines of held messages outlast a step of the wall clock between two lives

They are on the steady clock now. A record at the head of each file names the boot and what both clocks showed; within one boot moments stand as they are. Over a reboot the wall clock is all there is, and all moments are moved and written anew.

--- a/src/io/clock.hpp
+++ b/src/io/clock.hpp
@@ -11,10 +11,6 @@
   return std::chrono::duration_cast<Time>(std::chrono::steady_clock::now().time_since_epoch());
 }
 
-inline Time wall_now() {
-  return std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch());
-}
-
 // The moment as timers take it.
 inline std::chrono::steady_clock::time_point steady_moment(Time at) {
   return std::chrono::steady_clock::time_point(
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -108,6 +108,7 @@
   } else if (is_known_magic(start)) {
     size_ = kMagic.size();
     replay(std::string_view(text).substr(kMagic.size()));
+    bring_to_clock_of_now();
   } else {
     throw JournalError(path(kName) + " is no journal that this program knows");
   }
@@ -136,6 +137,19 @@
   compact();
 }
 
+// The moments read are on the clock that the file names. An owner writes them anew on its own before it
+// appends.
+void Journal::bring_to_clock_of_now() {
+  const ClockReading now = read_clock_now();
+  const Time shift = clock_ ? steady_shift(*clock_, now) : wall_shift(now);
+  needs_rewrite_ = !clock_ || shift != Time(0);
+  for (auto& [stream, entry] : held_) {
+    entry.deadline += shift;
+    entry.out_since += shift;
+    entry.doubt_since += shift;
+  }
+}
+
 // The one place that says what a record means: for those just written and for those read at a start.
 bool Journal::apply(std::string_view payload) {
   PayloadReader r(payload);
@@ -314,6 +328,7 @@
 
 std::string Journal::whole_text() const {
   std::string text(kMagic);
+  text += framed(clock_payload(read_clock_now()));
   if (generation_ > 1) text += framed(PayloadWriter(Kind::fence, generation_).text());
   for (const auto& [stream, entry] : held_) text += framed(entry_payload(stream, entry));
   return text;
--- a/src/journal/journal.hpp
+++ b/src/journal/journal.hpp
@@ -60,6 +60,7 @@
   enum class Access { owns, observes };
   Journal(std::string folder, std::uint64_t most_bytes, Access access = Access::owns);
 
+  // Moments are on the steady clock of this boot.
   const std::map<StreamId, JournalEntry>& held() const { return held_; }
   StreamId next_stream() const { return next_; }
   // Whether a message can be taken on so that its later records, and a compaction, fit as well.
@@ -108,6 +109,7 @@
   bool apply(std::string_view payload);
   // Records that follow what is known.
   void replay(std::string_view records);
+  void bring_to_clock_of_now();
   void cut_torn_tail();
   bool moved() const;  // the journal in the folder is another file
   std::string whole_text() const;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -104,7 +104,7 @@
   const auto held = journal_.held();  // a copy: replaying writes to it
   for (const auto& [stream, entry] : held) {
     // Read for each message: what those before it took must not be added to its time.
-    const Time now = wall_now();
+    const Time now = steady_now();
     Restored restored{stream, entry};
     restored.time_left = std::max(Time(0), entry.deadline - now);
     restored.out_age = std::max(Time(0), now - entry.out_since);
--- a/src/relay/relay_storage.cpp
+++ b/src/relay/relay_storage.cpp
@@ -61,16 +61,16 @@
 }
 
 void Relay::carry(RecordTaken& e) {
-  e.entry.deadline = wall_now() + e.time_left;
+  e.entry.deadline = steady_now() + e.time_left;
   if (!journal_.taken(e.stream, std::move(e.entry))) unrecorded_stream_ = e.stream;
 }
 void Relay::carry(RecordAttempt& e) {
   if (e.stream == unrecorded_stream_) return;
-  if (journal_.attempt_started(e.stream, wall_now(), e.zone)) return;
+  if (journal_.attempt_started(e.stream, steady_now(), e.zone)) return;
   if (e.required) {
     unrecorded_attempt_ = e.stream;
   } else {
-    journal_.attempt_started_unrecorded(e.stream, wall_now(), e.zone);
+    journal_.attempt_started_unrecorded(e.stream, steady_now(), e.zone);
   }
 }
 void Relay::carry(RecordOutcome& e) { journal_.attempt_ended(e.stream, e.may_have_run); }
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -10,10 +10,13 @@
 #include <fstream>
 #include <iterator>
 
+#include "record_codec.hpp"
+
 namespace fennellane {
 namespace {
 
 namespace fs = std::filesystem;
+using std::chrono::seconds;
 
 class Folder {
  public:
@@ -177,6 +180,44 @@
   EXPECT_TRUE(j.has_room(2, 1000));
 }
 
+// --- The clock
+using journal::ClockReading;
+TEST(JournalClock, IsTheSteadyClockWithinOneBootWhateverTheWallClockDoes) {
+  const ClockReading before{"boot a", seconds(100), seconds(5000)};
+  EXPECT_EQ(steady_shift(before, {"boot a", seconds(130), seconds(9000)}), Time(0));
+  EXPECT_EQ(steady_shift(before, {"boot a", seconds(130), seconds(10)}), Time(0));
+}
+TEST(JournalClock, IsTheWallClockOverAReboot) {
+  const ClockReading before{"boot a", seconds(100), seconds(5000)};
+  // 20 s later on the wall clock, which the new boot's steady clock shows as 3 s.
+  EXPECT_EQ(seconds(100) + steady_shift(before, {"boot b", seconds(3), seconds(5020)}), seconds(3 - 20));
+  // A boot that is not known, and a steady clock that went back, tell nothing either.
+  EXPECT_EQ(seconds(100) + steady_shift({"", seconds(100), seconds(5000)}, {"", seconds(3), seconds(5020)}),
+            seconds(3 - 20));
+  EXPECT_EQ(seconds(100) + steady_shift(before, {"boot a", seconds(3), seconds(5020)}), seconds(3 - 20));
+}
+
+// A journal of the version before, whose moments are on the wall clock.
+TEST(JournalClock, ReadsAJournalOfTheWallClock) {
+  const Folder folder;
+  const Time left = seconds(20);
+  {
+    Journal j(folder.path(), kBig);
+    JournalEntry e = entry("a");
+    e.deadline = std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch()) + left;
+    ASSERT_TRUE(j.taken(1, e));
+  }
+  std::string text = folder.text();
+  const std::size_t clock = 8 + journal::clock_payload(journal::read_clock_now()).size();
+  const std::string magic = "fennellane journal 1\n";
+  folder.write(magic + text.substr(magic.size() + clock));
+  const Journal j(folder.path(), kBig);
+  const Time deadline = j.held().at(1).deadline - journal::read_clock_now().steady;
+  EXPECT_LE(deadline, left);
+  EXPECT_GT(deadline, left - seconds(15));
+  EXPECT_EQ(Journal(folder.path(), kBig).held().at(1).deadline, j.held().at(1).deadline);
+}
+
 // --- One owner
 class Owners : public testing::Test {
  protected:
