A start outlives an event loop that the system has no room for at first

What callers saw: the process ended with 1 where epoll_create1, signalfd or epoll_ctl failed as it started (no descriptors, no memory). Worse, one whose timers could not be registered would have started and never seen one come due: the library overlooks that error.

--- /dev/null
+++ b/src/io/event_loop.cpp
@@ -0,0 +1,25 @@
+#include "event_loop.hpp"
+
+#include <asio/steady_timer.hpp>
+#include <cerrno>
+#include <system_error>
+
+namespace fennellane {
+
+void require_working_timers(asio::io_context& io) {
+  constexpr std::chrono::milliseconds kShort{1};
+  constexpr std::chrono::milliseconds kLong{500};
+  bool due = false;
+  asio::steady_timer timer(io, kShort);
+  timer.async_wait([&due](asio::error_code error) { due = !error; });
+  io.run_for(kLong);
+  if (!due) {
+    timer.cancel();
+    io.restart();
+    io.poll();
+  }
+  io.restart();
+  if (!due) throw std::system_error(ENOMEM, std::generic_category(), "the event loop's timers");
+}
+
+}  // namespace fennellane
--- a/src/io/signals.cpp
+++ b/src/io/signals.cpp
@@ -6,23 +6,28 @@
 #include <cerrno>
 #include <system_error>
 
+#include "descriptor.hpp"
+
 namespace fennellane {
 namespace {
 
-int opened(std::initializer_list<int> numbers) {
+FileDescriptor opened(std::initializer_list<int> numbers) {
   sigset_t set;
   sigemptyset(&set);
   for (const int number : numbers) sigaddset(&set, number);
-  const int fd =
-      pthread_sigmask(SIG_BLOCK, &set, nullptr) == 0 ? ::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC) : -1;
-  if (fd < 0) throw std::system_error(errno, std::generic_category(), "signals");
+  FileDescriptor fd(
+      pthread_sigmask(SIG_BLOCK, &set, nullptr) == 0 ? ::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC) : -1);
+  if (fd.get() < 0) throw std::system_error(errno, std::generic_category(), "signals");
   return fd;
 }
 
 }  // namespace
 
-Signals::Signals(asio::io_context& io, std::initializer_list<int> numbers)
-    : descriptor_(io, opened(numbers)) {}
+Signals::Signals(asio::io_context& io, std::initializer_list<int> numbers) : descriptor_(io) {
+  FileDescriptor fd = opened(numbers);
+  descriptor_.assign(fd.get());
+  fd.release();
+}
 
 void Signals::start(std::function<void(int)> on_signal) {
   on_signal_ = std::move(on_signal);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,6 +9,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <system_error>
+#include <thread>
 #include <vector>
 
 #include "command.hpp"
@@ -102,6 +104,22 @@
   return 0;
 }
 
+// Guards a start against a system that is short of something for a moment.
+template <class Make>
+void retry_for_shortage(fennellane::Time limit, Make make) {
+  constexpr std::chrono::milliseconds kPause{50};
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (true) {
+    try {
+      return make();
+    } catch (const std::system_error& e) {
+      if (std::chrono::steady_clock::now() >= end) throw;
+      std::fprintf(stderr, "fennellane: not yet: %s\n", e.what());
+    }
+    std::this_thread::sleep_for(kPause);
+  }
+}
+
 int serve(const std::string& config_path, const std::string& settings_path, const std::string& state,
           const fennellane::upgrade::CommandLine& command) {
   namespace upgrade = fennellane::upgrade;
@@ -114,8 +132,9 @@
     fennellane::Config config = read();
     if (config.upgrade && watcher < 0) return upgrade::watch_over(command, state);
     if (watcher >= 0) upgrade::die_with(watcher);
-    fennellane::Relay relay(std::move(config), state, read, place);
-    relay.run();
+    std::optional<fennellane::Relay> relay;
+    retry_for_shortage(config.limits.start_wait, [&] { relay.emplace(config, state, read, place); });
+    relay->run();
     return 0;
   } catch (const fennellane::ConfigError& e) {
     std::fprintf(stderr, "fennellane: %s\n", e.what());
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "clock.hpp"
+#include "event_loop.hpp"
 #include "legend.hpp"
 #include "run_file.hpp"
 
@@ -53,7 +54,9 @@
       storage_timer_(io_),
       storage_retry_(config_.limits.storage_retry_least, config_.limits.storage_retry_most, config_.seed),
       place_(std::move(place)),
-      old_timer_(io_) {}
+      old_timer_(io_) {
+  require_working_timers(io_);
+}
 
 void Relay::run() {
   std::signal(SIGPIPE, SIG_IGN);  // a log that nobody reads must not end the relay
