--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -184,17 +184,20 @@
 using journal::ClockReading;
 TEST(JournalClock, IsTheSteadyClockWithinOneBootWhateverTheWallClockDoes) {
   const ClockReading before{"boot a", seconds(100), seconds(5000)};
-  EXPECT_EQ(steady_shift(before, {"boot a", seconds(130), seconds(9000)}), Time(0));
-  EXPECT_EQ(steady_shift(before, {"boot a", seconds(130), seconds(10)}), Time(0));
+  EXPECT_EQ(journal::steady_shift(before, {"boot a", seconds(130), seconds(9000)}), Time(0));
+  EXPECT_EQ(journal::steady_shift(before, {"boot a", seconds(130), seconds(10)}), Time(0));
 }
 TEST(JournalClock, IsTheWallClockOverAReboot) {
   const ClockReading before{"boot a", seconds(100), seconds(5000)};
   // 20 s later on the wall clock, which the new boot's steady clock shows as 3 s.
-  EXPECT_EQ(seconds(100) + steady_shift(before, {"boot b", seconds(3), seconds(5020)}), seconds(3 - 20));
+  EXPECT_EQ(seconds(100) + journal::steady_shift(before, {"boot b", seconds(3), seconds(5020)}),
+            seconds(3 - 20));
   // A boot that is not known, and a steady clock that went back, tell nothing either.
-  EXPECT_EQ(seconds(100) + steady_shift({"", seconds(100), seconds(5000)}, {"", seconds(3), seconds(5020)}),
+  EXPECT_EQ(seconds(100) +
+                journal::steady_shift({"", seconds(100), seconds(5000)}, {"", seconds(3), seconds(5020)}),
+            seconds(3 - 20));
+  EXPECT_EQ(seconds(100) + journal::steady_shift(before, {"boot a", seconds(3), seconds(5020)}),
             seconds(3 - 20));
-  EXPECT_EQ(seconds(100) + steady_shift(before, {"boot a", seconds(3), seconds(5020)}), seconds(3 - 20));
 }
 
 // A journal of the version before, whose moments are on the wall clock.
