--- a/tests/relay_fixture.hpp
+++ b/tests/relay_fixture.hpp
@@ -15,6 +15,7 @@
 #include <thread>
 
 #include "http.hpp"
+#include "http_server.hpp"
 #include "net_fixture.hpp"
 #include "relay_process.hpp"
 #include "threaded_server.hpp"
@@ -26,122 +27,12 @@
 using std::chrono::seconds;
 namespace fs = std::filesystem;
 
+using standin::answer;
 using standin::happens;
-
-inline const std::string kReset = "reset";  // as an answer: the connection is reset
-
-struct Request {
-  std::string target, id, body;
-  int nth = 1;  // on its connection
-};
-
-// An HTTP server that answers each request with the text its handler returns; an empty one is no answer.
-class Server {
- public:
-  using Handler = std::function<std::string(const Request&)>;
-  explicit Server(Handler handler)
-      : handler_(std::move(handler)),
-        server_([this](const standin::ThreadedServer::Socket& socket) { serve(*socket); }) {}
-
-  std::string address() const { return server_.address(); }
-  std::vector<Request> requests() const {
-    const std::scoped_lock lock(mutex_);
-    return requests_;
-  }
-  std::size_t count(const std::string& id) const {
-    const std::vector<Request> all = requests();
-    return static_cast<std::size_t>(
-        std::count_if(all.begin(), all.end(), [&](const Request& r) { return r.id == id; }));
-  }
-
- private:
-  void serve(tcp::socket& socket) {
-    HttpReader reader(HttpReader::Kind::request, 65536, 1 << 20);
-    char piece[4096];
-    int nth = 0;
-    asio::error_code error;
-    while (true) {
-      const std::size_t n = socket.read_some(asio::buffer(piece), error);
-      if (error) return;
-      std::string_view text(piece, n);
-      while (!text.empty() && !reader.failed()) {
-        text.remove_prefix(reader.feed(text));
-        if (!reader.done()) continue;
-        const Request request{reader.target(), std::string(reader.header("x-call-id").value_or("")),
-                              reader.take_body(), ++nth};
-        reader.reset();
-        {
-          const std::scoped_lock lock(mutex_);
-          requests_.push_back(request);
-        }
-        const std::string answer = handler_(request);
-        if (answer == kReset) {
-          socket.set_option(asio::socket_base::linger(true, 0), error);
-          socket.close(error);
-          return;
-        }
-        asio::write(socket, asio::buffer(answer), error);
-        if (error) return;
-      }
-    }
-  }
-
-  Handler handler_;
-  mutable std::mutex mutex_;
-  std::vector<Request> requests_;
-  standin::ThreadedServer server_;  // last, since its threads use all the others
-};
-
-inline std::string answer(const std::string& status, const std::string& body = "",
-                          const std::string& headers = "") {
-  return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + std::to_string(body.size()) +
-         "\r\n\r\n" + body;
-}
-
-// Discovery and the platform's notices.
-class Platform {
- public:
-  explicit Platform(std::vector<HostLine> hosts, std::string first_watch = "\n")
-      : list_(list_json(hosts)),
-        first_watch_(std::move(first_watch)),
-        server_([this](const Request& r) { return handle(r); }) {}
-  std::string address() const { return server_.address(); }
-  bool noticed(const std::string& line) const {
-    for (const Request& r : server_.requests()) {
-      if (r.target == "/v1/notices" && r.body.find(line) != std::string::npos) return true;
-    }
-    return false;
-  }
-  // What the next watch hears first.
-  void set_watch(const std::string& text) {
-    const std::scoped_lock lock(mutex_);
-    first_watch_ = text;
-  }
-  void take_notices(bool takes) { takes_notices_ = takes; }
-  std::vector<Request> requests() const { return server_.requests(); }
-  std::size_t watches() const {
-    const auto all = server_.requests();
-    return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [](const Request& r) {
-      return r.target.find("watch=1") != std::string::npos;
-    }));
-  }
-
- private:
-  std::string handle(const Request& r) {
-    if (r.target == "/v1/notices")
-      return answer(takes_notices_ ? "204 No Content" : "503 Service Unavailable");
-    if (r.target == "/discovery/hosts") return answer("200 OK", list_);
-    const std::scoped_lock lock(mutex_);
-    std::ostringstream chunk;
-    chunk << std::hex << first_watch_.size() << "\r\n" << first_watch_ << "\r\n";
-    return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk.str();
-  }
-  std::string list_;
-  std::mutex mutex_;
-  std::string first_watch_;
-  std::atomic<bool> takes_notices_ = true;
-  Server server_;
-};
+using standin::kReset;
+using standin::Platform;
+using standin::Request;
+using standin::Server;
 
 // An address that refuses connections.
 inline std::string refusing_address() {
