--- /dev/null
+++ b/tests/fault_lab_test.cpp
@@ -0,0 +1,38 @@
+// A few runs of the fault laboratory, from fixed seeds; fennellane_rehearse_faults plays many.
+#include "fault_lab.hpp"
+
+#include <gtest/gtest.h>
+
+namespace fennellane::harness {
+namespace {
+
+class FaultRuns : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(FaultRuns, LoseNothingAndSendNothingTwice) {
+  const FaultPlan plan = draw_plan(GetParam());
+  const FaultReport report = run_faults(FENNELLANE_PROGRAM, FENNELLANE_FAULT_SHIM, plan);
+  EXPECT_TRUE(report.violations.empty()) << plan_text(plan) << "\n" << report.log;
+  for (const std::string& violation : report.violations) ADD_FAILURE() << violation;
+  EXPECT_GT(report.delivered, 0u);
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, FaultRuns, testing::Range<std::uint64_t>(1, 9));
+
+// Guards against a checker that finds everything right: a partner's answers are lost on their way, and the
+// class's messages go out a second time.
+TEST(FaultLab, FindsWhatRunsTwiceAndWhatHasNoEnd) {
+  FaultPlan plan;
+  plan.end = FaultPlan::End::kill;
+  plan.plants_flaws = true;
+  const FaultReport report = run_faults(FENNELLANE_PROGRAM, FENNELLANE_FAULT_SHIM, plan);
+  const auto found = [&](const std::string& what) {
+    return std::any_of(report.violations.begin(), report.violations.end(),
+                       [&](const std::string& v) { return v.find(what) != std::string::npos; });
+  };
+  EXPECT_TRUE(found("ran 2 times"));
+  EXPECT_TRUE(found("has no end"));
+  EXPECT_TRUE(found("as no client had sent it"));
+  EXPECT_TRUE(found("was refused and reached a partner"));
+}
+
+}  // namespace
+}  // namespace fennellane::harness
--- a/tools/harness/fault_lab.cpp
+++ b/tools/harness/fault_lab.cpp
@@ -45,6 +45,14 @@
   bool in_first_life = true;
 };
 
+// A message at a partner.
+struct Arrival {
+  std::size_t ran = 0;
+  bool delivered = false, other_body = false;
+  std::string body;
+};
+using Arrivals = std::map<std::string, Arrival>;  // by id
+
 // A partner's endpoint: some answers are refusals, errors, late or none at all.
 class Endpoint {
  public:
@@ -52,12 +60,7 @@
       : random_(seed), server_([this](const standin::Request& r) { return take(r); }) {}
   std::string address() const { return server_.address(); }
 
-  struct Arrivals {
-    std::size_t ran = 0, turned_away = 0;
-    bool delivered = false, other_body = false;
-    std::string body;
-  };
-  std::map<std::string, Arrivals> arrivals() const {
+  Arrivals arrivals() const {
     const std::scoped_lock lock(mutex_);
     return arrivals_;
   }
@@ -69,11 +72,10 @@
       const std::scoped_lock lock(mutex_);
       draw = static_cast<unsigned>(random_() % 100);
       pause_ms = static_cast<unsigned>(random_() % 40);
-      Arrivals& a = arrivals_[r.id];
+      Arrival& a = arrivals_[r.id];
       a.other_body = a.other_body || (!a.body.empty() && a.body != r.body);
       a.body = r.body;
-      const bool refuses = draw < 8;
-      ++(refuses ? a.turned_away : a.ran);
+      a.ran += draw < 8 ? 0 : 1;
       a.delivered = a.delivered || draw >= 12;
     }
     std::this_thread::sleep_for(milliseconds(pause_ms));
@@ -85,7 +87,7 @@
 
   mutable std::mutex mutex_;
   std::mt19937_64 random_;
-  std::map<std::string, Arrivals> arrivals_;
+  Arrivals arrivals_;
   standin::Server server_;  // last, since its threads use all the others
 };
 
@@ -283,22 +285,52 @@
     });
   }
 
+  // As if a message that ran had run again, and others had come back in another form, been refused or been
+  // taken on without an end.
+  void plant_flaws(std::map<std::string, Message>& known, Arrivals& arrivals) const {
+    int planted = 0;
+    for (auto& [id, m] : known) {
+      const auto it = arrivals.find(id);
+      if (m.seen != Seen::taken || m.message_class != "pay" || it == arrivals.end() || it->second.ran == 0)
+        continue;
+      if (planted == 0) ++it->second.ran;
+      if (planted == 1) it->second.body += "?";
+      if (planted == 2) m.seen = Seen::refused;
+      if (planted++ == 3) break;
+    }
+    known["without an end"].seen = Seen::taken;
+  }
+
+  Arrivals all_arrivals() const {
+    Arrivals all;
+    for (const auto& endpoint : endpoints_) {
+      for (const auto& [id, a] : endpoint->arrivals()) {
+        Arrival& sum = all[id];
+        sum.other_body = sum.other_body || a.other_body || (!sum.body.empty() && sum.body != a.body);
+        sum.body = a.body;
+        sum.ran += a.ran;
+        sum.delivered = sum.delivered || a.delivered;
+      }
+    }
+    return all;
+  }
+
   void check() {
     std::map<std::string, Message> known;
     for (const auto& client : clients_) {
       for (const Message& m : client->messages()) known[m.id] = m;
     }
+    Arrivals all = all_arrivals();
+    if (plan_.plants_flaws) plant_flaws(known, all);
     std::map<std::string, std::size_t> ran;
-    for (const auto& endpoint : endpoints_) {
-      for (const auto& [id, arrivals] : endpoint->arrivals()) {
-        const auto it = known.find(id);
-        if (it == known.end() || it->second.body != arrivals.body || arrivals.other_body) {
-          violate(id + ": reached a partner as no client had sent it");
-          continue;
-        }
-        ran[id] += arrivals.ran;
-        if (it->second.seen == Seen::refused) violate(id + ": was refused and reached a partner");
+    for (const auto& [id, arrivals] : all) {
+      const auto it = known.find(id);
+      if (it == known.end() || it->second.body != arrivals.body || arrivals.other_body) {
+        violate(id + ": reached a partner as no client had sent it");
+        continue;
       }
+      ran[id] += arrivals.ran;
+      if (it->second.seen == Seen::refused) violate(id + ": was refused and reached a partner");
     }
     for (const auto& [id, m] : known) {
       ++report_.handed_in;
--- a/tools/harness/fault_lab.hpp
+++ b/tools/harness/fault_lab.hpp
@@ -22,7 +22,8 @@
   bool replace_folder = false;
   long clock_step_s = 0;  // of the wall clock, in the second life
   std::size_t idle_clients = 0;
-  std::uint64_t seed = 1;  // of the load and of the partners' answers
+  std::uint64_t seed = 1;     // of the load and of the partners' answers
+  bool plants_flaws = false;  // into the histories, for the checker to find
 };
 
 // Drawn from a seed.
