The idempotency key of a message is passed on, kept over a restart, and owed by keyed classes

Cause: nothing read the Idempotency-Key that its clients send, so each call came without it.

Journals without keys are read as before.

Evidence: Offer.HasItsIdempotencyKeyWhereTheClassIsKeyed and Relay.PassesTheIdempotencyKeyOnInEachCallAlsoAfterAKill fail without the change.

--- a/src/core/limits.hpp
+++ b/src/core/limits.hpp
@@ -14,6 +14,7 @@
   std::size_t body = 64 * 1024;
   std::size_t head = 16 * 1024;
   std::size_t id = 128;
+  std::size_t idempotency_key = 255;
   std::size_t read_ring = 8 * 1024;
   std::size_t answer_ring = 4 * 1024;
   std::size_t answer_buffer = 16 * 1024;     // the system's, of answers that a client has not taken
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -77,6 +77,7 @@
   ++counters_.taken;
   const StreamId id = next_++;
   Stream& stream = add(id, o.id, o.body);
+  stream.idempotency_key = o.idempotency_key;
   stream.deadline = now_ + o.time_left;
   if (o.message_class < aims_.size()) {
     stream.late_at = now_ + aims_[o.message_class];
@@ -84,6 +85,7 @@
   }
   JournalEntry entry;
   entry.id = o.id;
+  entry.idempotency_key = o.idempotency_key;
   entry.message_class = o.message_class;
   entry.tenant = o.tenant;
   entry.destination = o.destination;
@@ -103,6 +105,7 @@
   ++counters_.restored;
   const JournalEntry& e = r.entry;
   Stream& stream = add(r.stream, e.id, e.body);
+  stream.idempotency_key = e.idempotency_key;
   stream.attempts = e.attempts;
   stream.deadline = now_ + r.time_left;
   if (e.verdict) {
@@ -359,8 +362,9 @@
   const std::uint32_t attempt = stream.attempts++;
   ++counters_.sent;
   effect(RecordAttempt{a.id, attempt, host.zone, !stream.repeatable});
-  effect(StartCall{a.id, attempt, a.endpoint, host.address, stream.id, stream.body, a.timeout, a.most_idle,
-                   a.begin_within});
+  StartCall call{a.id,        attempt,   a.endpoint,  host.address,   stream.id,
+                 stream.body, a.timeout, a.most_idle, a.begin_within, stream.idempotency_key};
+  effect(std::move(call));
 }
 
 void Reducer::give_up(StreamId stream, Verdict verdict, Time again, starlinghook::GiveUpReason why) {
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -40,6 +40,7 @@
   Time time_left{};
   Body body;
   bool journal_has_room = true;
+  std::string idempotency_key = {};  // empty: none
 };
 struct Restored {  // a message of an earlier life
   StreamId stream = 0;
@@ -131,6 +132,7 @@
   Time timeout{};
   Time most_idle = Time::max();     // over a connection that has stood idle for no longer
   Time begin_within = Time::max();  // until the call's first byte is written; else it could not connect
+  std::string idempotency_key;      // empty: none
 };
 struct CancelCall {
   StreamId stream = 0;
@@ -198,6 +200,7 @@
  private:
   struct Stream {
     std::string id;
+    std::string idempotency_key;
     Body body;
     std::uint32_t attempts = 0;
     bool repeatable = false;  // any number of times
--- a/src/core/reducer_memory.cpp
+++ b/src/core/reducer_memory.cpp
@@ -13,7 +13,7 @@
 
 template <class Archive>
 void Reducer::Stream::serialize(Archive& archive) {
-  archive(id, attempts, repeatable, host, out, given_up, late_at, deadline);
+  archive(id, idempotency_key, attempts, repeatable, host, out, given_up, late_at, deadline);
 }
 
 template <class Archive>
--- a/src/core/stream.hpp
+++ b/src/core/stream.hpp
@@ -18,6 +18,7 @@
 
 struct JournalEntry {
   std::string id;
+  std::string idempotency_key;  // by which the partner knows a repeat; empty: the client gave none
   std::uint32_t message_class = 0;
   std::uint32_t tenant = 0;
   std::uint32_t destination = 0;
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -73,8 +73,15 @@
              consignee = request.header("x-consignee");
   if (!message_class || !id || !budget || !consignee) return kBad;
   if (find_position(boot.classes, *message_class) != of_path) return kBad;
+  const bool keyed = boot.settings.classes.at(*of_path).effect == starlinghook::Effect::keyed;
   if (id->empty() || id->size() > limits.id || !visible(*id) || *id == ",") return kBad;
+  const auto key = request.header("idempotency-key");
+  // Guards the partner against a message whose repeats it could not tell.
+  if (keyed && !key) return kBad;
+  if (key && (key->empty() || key->size() > limits.idempotency_key || !visible(*key) || *key == ","))
+    return kBad;
   Offered offer;
+  if (key) offer.idempotency_key = *key;
   offer.message_class = *of_path;
   if (!boot.tenants.empty()) {
     const auto named = tenant ? find_position(boot.tenants, *tenant) : std::nullopt;
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -212,8 +212,10 @@
     deadline_ = std::chrono::steady_clock::now() + std::max(call_.timeout, Time(1000));
     begin_by_ = call_.begin_within == Time::max() ? Time::max() : steady_now() + call_.begin_within;
     const auto budget = std::max<Time::rep>(1, call_.timeout.count() / 1000);
+    const std::string key_line =
+        call_.idempotency_key.empty() ? "" : "\r\nIdempotency-Key: " + call_.idempotency_key;
     std::string head = "POST /hook HTTP/1.1\r\nHost: " + call_.address.text() + "\r\nX-Call-Id: " + call_.id +
-                       "\r\nX-Budget-Ms: " + std::to_string(budget) +
+                       key_line + "\r\nX-Budget-Ms: " + std::to_string(budget) +
                        "\r\nContent-Length: " + std::to_string(call_.body->size()) + "\r\n\r\n";
     out_.append(head);
     out_.append(*call_.body);
--- a/src/journal/record_codec.cpp
+++ b/src/journal/record_codec.cpp
@@ -31,7 +31,7 @@
   w.put(e.attempts).put(static_cast<std::uint8_t>(e.out)).put(e.out_since).put(e.out_zone);
   w.put(static_cast<std::uint8_t>(e.may_have_run)).put(e.doubt_since).put(e.doubt_zone);
   w.put(static_cast<std::uint8_t>(e.verdict ? *e.verdict : Verdict{})).put(e.again);
-  w.put(std::string_view(*e.body));
+  w.put(std::string_view(*e.body)).put(std::string_view(e.idempotency_key));
   return w.text();
 }
 
@@ -52,6 +52,7 @@
   if (const auto verdict = r.get<std::uint8_t>(); verdict != 0) e.verdict = static_cast<Verdict>(verdict);
   e.again = r.time();
   e.body = std::make_shared<const std::string>(r.text());
+  if (!r.whole()) e.idempotency_key = r.text();  // older versions have none
   return e;
 }
 
@@ -81,7 +82,7 @@
 
 std::size_t entry_size(const JournalEntry& e) {
   static const std::size_t empty = framed(entry_payload(0, JournalEntry{})).size();
-  return empty + e.id.size() + e.body->size();
+  return empty + e.id.size() + e.idempotency_key.size() + e.body->size();
 }
 
 std::optional<std::string_view> first_payload(std::string_view records) {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -42,7 +42,8 @@
                       ++counters_.refused;
                       return downstream_.answer(refusal_before_start(offer, reducer_.refused_again()));
                     }
-                    offer.journal_has_room = journal_.has_room(offer.id.size(), offer.body->size());
+                    offer.journal_has_room =
+                        journal_.has_room(offer.id.size() + offer.idempotency_key.size(), offer.body->size());
                     input(offer);
                   }),
       loop_watch_(io_, config_.limits.loop_look, config_.limits.loop_beat,
--- a/tests/parser_test.cpp
+++ b/tests/parser_test.cpp
@@ -210,6 +210,34 @@
   return text.replace(text.find(from), from.size(), to);
 }
 
+// A class whose repeats the partner drops by their key cannot do without one; any other may have one.
+TEST(Offer, HasItsIdempotencyKeyWhereTheClassIsKeyed) {
+  std::string json = config_json();
+  const std::string free = R"("effect":"free")";
+  json.replace(json.find(free), free.size(), R"("effect":"guarded","key_scope":"all","window_us":7500000)");
+  const Config config = parse_config(json);
+  const auto read = [&](const std::string& message_class, const std::string& headers) {
+    std::string text = request_text("a1", "body", message_class);
+    text.replace(text.find("Content-Length"), 0, headers);
+    HttpReader reader(Kind::request, 4096, 65536);
+    reader.feed(text);
+    return read_offer(reader, config);
+  };
+  const auto status = [&](const std::string& headers) {
+    const auto offer = read("note", headers);
+    return std::holds_alternative<unsigned>(offer) ? std::get<unsigned>(offer) : 0;
+  };
+  EXPECT_EQ(std::get<Offered>(read("note", "Idempotency-Key: 5c0f-6e1a\r\n")).idempotency_key, "5c0f-6e1a");
+  EXPECT_EQ(std::get<Offered>(read("pay", "Idempotency-Key: k\r\n")).idempotency_key, "k");
+  EXPECT_EQ(std::get<Offered>(read("pay", "")).idempotency_key, "");
+  EXPECT_EQ(status("Idempotency-Key: " + std::string(255, 'k') + "\r\n"), 0u);
+  EXPECT_EQ(status(""), 400u);
+  EXPECT_EQ(status("Idempotency-Key: \r\n"), 400u);
+  EXPECT_EQ(status("Idempotency-Key: a b\r\n"), 400u);
+  EXPECT_EQ(status("Idempotency-Key: k1\r\nIdempotency-Key: k1\r\n"), 400u);
+  EXPECT_EQ(status("Idempotency-Key: " + std::string(256, 'k') + "\r\n"), 400u);
+}
+
 TEST(Offer, IsReadWholeOrRefusedByItsFault) {
   const Config config = parse_config(config_json());
   HttpReader reader(Kind::request, 4096, 65536);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -55,6 +55,25 @@
 
 // A crash with a call out: one that may be repeated goes out again, one that must not ends by a notice, and
 // one that was never sent goes on.
+// A call without the key of its message is one that no client has handed in.
+TEST(Relay, PassesTheIdempotencyKeyOnInEachCallAlsoAfterAKill) {
+  std::atomic<bool> refuses = true;
+  Server host([&](const Request&) { return refuses ? answer("503 Full") : answer("200 OK"); });
+  Platform platform({{"s-1", host.address()}});
+  Program relay(platform.address());
+  relay.start();
+  std::string text = request_text("note1");
+  text.replace(text.find("Content-Length"), 0, "Idempotency-Key: 5c0f6e1a2b3d4c59\r\n");
+  ASSERT_EQ(relay.ask(text), 202u);
+  ASSERT_TRUE(happens([&] { return host.count("note1") >= 2; }));
+  relay.end(SIGKILL);
+  refuses = false;
+  const std::size_t before = host.count("note1");
+  relay.start();
+  ASSERT_TRUE(happens([&] { return host.count("note1") > before; })) << relay.log();
+  for (const Request& r : host.requests()) EXPECT_EQ(r.idempotency_key, "5c0f6e1a2b3d4c59");
+}
+
 TEST(Relay, OwesItsMessagesAcrossAKill) {
   std::atomic<bool> silent = true;
   Server host([&](const Request&) { return silent ? "" : answer("200 OK"); });
