--- a/tools/standin/http_server.hpp
+++ b/tools/standin/http_server.hpp
@@ -21,9 +21,17 @@
 
 inline const std::string kReset = "reset";  // as an answer: the connection is reset
 
+// The same answer as one that says `Connection: close`.
+inline std::string with_close(std::string answer) {
+  const std::size_t first_line = answer.find("\r\n");
+  if (first_line != std::string::npos) answer.insert(first_line + 2, "Connection: close\r\n");
+  return answer;
+}
+
 struct Request {
   std::string target, id, body, idempotency_key;
-  int nth = 1;  // on its connection
+  int nth = 1;              // on its connection
+  bool asks_close = false;  // of the connection, behind its answer
 };
 
 // An HTTP server that answers each request with the text its handler returns; an empty one is no answer.
@@ -58,22 +66,27 @@
       while (!text.empty() && !reader.failed()) {
         text.remove_prefix(reader.feed(text));
         if (!reader.done()) continue;
-        const Request request{reader.target(), std::string(reader.header("x-call-id").value_or("")),
-                              reader.take_body(), std::string(reader.header("idempotency-key").value_or("")),
-                              ++nth};
+        const Request request{reader.target(),
+                              std::string(reader.header("x-call-id").value_or("")),
+                              reader.take_body(),
+                              std::string(reader.header("idempotency-key").value_or("")),
+                              ++nth,
+                              !reader.keep_alive()};
         reader.reset();
         {
           const std::scoped_lock lock(mutex_);
           requests_.push_back(request);
         }
-        const std::string answer = handler_(request);
+        const std::string plain = handler_(request);
+        const bool closes = request.asks_close && plain.starts_with("HTTP/1.");
+        const std::string answer = closes ? with_close(plain) : plain;
         if (answer == kReset) {
           socket.set_option(asio::socket_base::linger(true, 0), error);
           socket.close(error);
           return;
         }
         asio::write(socket, asio::buffer(answer), error);
-        if (error) return;
+        if (error || closes) return;
       }
     }
   }
--- a/tools/standin/relay_process.cpp
+++ b/tools/standin/relay_process.cpp
@@ -37,9 +37,6 @@
 
 RelayProcess::RelayProcess(std::string program, std::string host)
     : program_(std::move(program)), host_(std::move(host)) {
-  std::string name = (fs::temp_directory_path() / "relay-XXXXXX").string();
-  if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder for the relay");
-  folder_ = name;
   fs::create_directory(state_folder());
   // Guards the port against being given to another relay, or to a connection, before this one has it and
   // while it is down: a bound socket that does not listen keeps it from all that do not name it.
@@ -59,13 +56,11 @@
 RelayProcess::~RelayProcess() {
   if (pid_ > 0) end(SIGKILL);
   ::close(reserved_);
-  std::error_code ignored;
-  fs::remove_all(folder_, ignored);
 }
 
 void RelayProcess::replace(const std::string& name, const std::string& text) const {
-  std::ofstream(folder_ + "/new") << text;
-  fs::rename(folder_ + "/new", folder_ + "/" + name);
+  std::ofstream(folder() + "/new") << text;
+  fs::rename(folder() + "/new", folder() + "/" + name);
 }
 void RelayProcess::replace_config(const std::string& json) { replace("config.json", json); }
 void RelayProcess::replace_settings(const std::string& sexp) { replace("settings.sexp", sexp); }
@@ -73,9 +68,9 @@
 void RelayProcess::start() {
   std::vector<std::string> variables = variables_;
   variables.push_back("GW_STATE=" + state_folder());
-  if (fs::exists(folder_ + "/config.json")) variables.push_back("GW_CONFIG=" + folder_ + "/config.json");
-  if (fs::exists(folder_ + "/settings.sexp"))
-    variables.push_back("GW_SETTINGS=" + folder_ + "/settings.sexp");
+  if (fs::exists(folder() + "/config.json")) variables.push_back("GW_CONFIG=" + folder() + "/config.json");
+  if (fs::exists(folder() + "/settings.sexp"))
+    variables.push_back("GW_SETTINGS=" + folder() + "/settings.sexp");
   std::vector<char*> environment;
   for (std::string& v : variables) environment.push_back(v.data());
   environment.push_back(nullptr);
@@ -83,7 +78,7 @@
   char* const arguments[] = {program.data(), command.data(), nullptr};
   posix_spawn_file_actions_t files;
   posix_spawn_file_actions_init(&files);
-  posix_spawn_file_actions_addopen(&files, 2, (folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND,
+  posix_spawn_file_actions_addopen(&files, 2, (folder() + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                    0644);
   // Guards the stand-ins' connections against a copy in each relay that started later, which keeps them open.
   posix_spawn_file_actions_addclosefrom_np(&files, 3);
@@ -127,7 +122,7 @@
 }
 
 std::string RelayProcess::log() const {
-  std::ifstream in(folder_ + "/log");
+  std::ifstream in(folder() + "/log");
   return {std::istreambuf_iterator<char>(in), {}};
 }
 
--- a/tools/standin/relay_process.hpp
+++ b/tools/standin/relay_process.hpp
@@ -12,6 +12,8 @@
 #include <string>
 #include <vector>
 
+#include "temporary_folder.hpp"
+
 namespace fennellane::standin {
 
 // Waits until `what` holds; false if it does not within the limit.
@@ -46,8 +48,8 @@
   // The one that serves, where upgrades are on and the first process only watches.
   pid_t serving() const;
 
-  std::string folder() const { return folder_; }
-  std::string state_folder() const { return folder_ + "/state"; }
+  const std::string& folder() const { return folder_.path(); }
+  std::string state_folder() const { return folder() + "/state"; }
   std::string address() const { return host_ + ":" + std::to_string(port_); }
   std::uint16_t port() const { return port_; }
 
@@ -64,7 +66,7 @@
 
   const std::string program_, host_;
   std::vector<std::string> variables_;
-  std::string folder_;
+  const TemporaryFolder folder_{"relay"};
   int reserved_ = -1;  // a socket that keeps the port
   std::uint16_t port_ = 0;
   pid_t pid_ = 0;
--- a/tools/standin/sample_config.hpp
+++ b/tools/standin/sample_config.hpp
@@ -34,14 +34,17 @@
   int sockets = 1024;
   // A call that may be repeated is waited for twice as long at least.
   int connect_ms = 1000;
+  std::size_t index = 0, relays = 1;  // which one of how many
 };
 
 // Class 0 `note` may be repeated, class 1 `pay` may not; tenants `north` and `south`.
 inline std::string config_json(const ConfigParts& p = {}) {
-  return R"({"name":"n0","seed":"8c1f30d27a5be964","listen":")" + p.listen + R"(","discovery":")" +
-         p.discovery + R"(","limits":{"cores":1.0,"memory_mb":192,"sockets":)" + std::to_string(p.sockets) +
-         R"(,"disk_mb":)" + std::to_string(p.disk_mb) + R"(},"known":)" + list_json(p.known, 0) +
-         R"(,"settings":{"n_instances":1,"index":0,"zone":0,
+  const std::string index = std::to_string(p.index);
+  return R"({"name":"n)" + index + R"(","seed":"8c1f30d27a5be964","listen":")" + p.listen +
+         R"(","discovery":")" + p.discovery + R"(","limits":{"cores":1.0,"memory_mb":192,"sockets":)" +
+         std::to_string(p.sockets) + R"(,"disk_mb":)" + std::to_string(p.disk_mb) + R"(},"known":)" +
+         list_json(p.known, 0) + R"(,"settings":{"n_instances":)" + std::to_string(p.relays) +
+         R"(,"index":)" + index + R"(,"zone":0,
     "request_classes":[
       {"name":"note","effect":"free","aim_us":2000000,"give_up_us":20000000,"worth":1.0,"late_worth":0.4},
       {"name":"pay","effect":"single_shot","aim_us":2000000,"give_up_us":20000000,"worth":3.0}],
@@ -58,12 +61,12 @@
 }
 
 inline std::string request_text(std::string_view id = "a1", std::string_view body = "hello",
-                                std::string_view message_class = "note") {
+                                std::string_view message_class = "note", int destination = 7) {
   const std::string c(message_class);
   return "POST /" + c + " HTTP/1.1\r\nHost: origin.svc\r\nX-Call-Id: " + std::string(id) +
          "\r\nX-Call-Class: " + c +
-         "\r\nX-Caller: south\r\nX-Budget-Ms: 20000\r\nX-Consignee: dest=7\r\nContent-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+         "\r\nX-Caller: south\r\nX-Budget-Ms: 20000\r\nX-Consignee: dest=" + std::to_string(destination) +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
 }
 
 }  // namespace fennellane::standin
