--- /dev/null
+++ b/src/base/byte_units.hpp
@@ -0,0 +1,11 @@
+// Units of sizes in bytes.
+#pragma once
+
+#include <cstddef>
+
+namespace fennellane {
+
+constexpr std::size_t kKiB = 1024;
+constexpr std::size_t kMiB = 1024 * kKiB;
+
+}  // namespace fennellane
--- a/src/consul/answer_reader.cpp
+++ b/src/consul/answer_reader.cpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <unordered_set>
+#include <utility>
 
 #include "config.hpp"
 #include "names.hpp"
--- a/src/consul/answer_reader.hpp
+++ b/src/consul/answer_reader.hpp
@@ -14,6 +14,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "byte_units.hpp"
 #include "consul_settings.hpp"
 #include "membership.hpp"
 
@@ -26,8 +27,8 @@
 };
 
 struct AnswerLimits {
-  std::size_t bytes = 32 * 1024 * 1024;  // of one answer
-  std::size_t element = 64 * 1024;       // bytes of one host
+  std::size_t bytes = 32 * kMiB;    // of one answer
+  std::size_t element = 64 * kKiB;  // bytes of one host
   std::size_t hosts = 20000;
 };
 
--- a/src/consul/list_store.cpp
+++ b/src/consul/list_store.cpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <sstream>
 
+#include "byte_units.hpp"
 #include "config.hpp"
 #include "names.hpp"
 #include "replace_file.hpp"
@@ -22,7 +23,7 @@
 constexpr const char* kName = "consul.list";
 constexpr const char* kNewName = "consul.list.new";
 constexpr const char* kFirstLine = "fennellane consul list 1";
-constexpr std::size_t kMostText = 64 * 1024 * 1024;
+constexpr std::size_t kMostText = 64 * kMiB;
 constexpr int kLevel = 1;
 
 constexpr const char* kHealth[] = {"passing", "warning", "critical", "maintenance"};
--- a/src/core/limits.cpp
+++ b/src/core/limits.cpp
@@ -13,12 +13,12 @@
   // Guards the memory: one part in eight for upstream buffers, and one in two for clients, whose body and
   // rings count as 96 KiB. Clients may hold a third of all descriptors for requests, so most of the rest is
   // theirs.
-  const std::size_t memory = static_cast<std::size_t>(allowance.memory_mb) * 1024 * 1024;
+  const std::size_t memory = static_cast<std::size_t>(allowance.memory_mb) * kMiB;
   const std::size_t most_upstream = std::max<std::size_t>(4, std::min(sockets * 2 / 5, slots * 6 + 64));
   limits.upstream_connections = std::clamp(memory / 8 / (limits.call_ring + limits.read_ring),
                                            std::min(slots, most_upstream), most_upstream);
   limits.downstream_connections =
-      std::clamp<std::size_t>(memory / 2 / (96 * 1024), 4, sockets - limits.upstream_connections);
+      std::clamp<std::size_t>(memory / 2 / (96 * kKiB), 4, sockets - limits.upstream_connections);
   // Callers may hold a third of all descriptors for requests: half of that is kept free for new ones.
   limits.asking_connections = std::min(allowance.sockets / 6, limits.downstream_connections / 2);
   limits.held = held;
--- a/src/core/limits.hpp
+++ b/src/core/limits.hpp
@@ -5,31 +5,33 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "byte_units.hpp"
+
 namespace fennellane {
 
 using Time = std::chrono::microseconds;  // a point on the steady clock, or a span
 
 struct Limits {
   // Sizes, in bytes.
-  std::size_t body = 64 * 1024;
-  std::size_t head = 16 * 1024;
+  std::size_t body = 64 * kKiB;
+  std::size_t head = 16 * kKiB;
   std::size_t id = 128;
   std::size_t idempotency_key = 255;
-  std::size_t read_ring = 8 * 1024;
-  std::size_t answer_ring = 4 * 1024;
-  std::size_t answer_buffer = 16 * 1024;     // the system's, of answers that a client has not taken
-  std::size_t call_ring = 64 * 1024 + 1024;  // one call: the largest body, and a head
-  std::size_t discovery_line = 4 * 1024 * 1024;
-  std::size_t notice_batch = 32 * 1024;
+  std::size_t read_ring = 8 * kKiB;
+  std::size_t answer_ring = 4 * kKiB;
+  std::size_t answer_buffer = 16 * kKiB;     // the system's, of answers that a client has not taken
+  std::size_t call_ring = 64 * kKiB + kKiB;  // one call: the largest body, and a head
+  std::size_t discovery_line = 4 * kMiB;
+  std::size_t notice_batch = 32 * kKiB;
   std::uint64_t journal_file = 0;  // one file; while it is compacted there are two
   std::uint64_t list_file = 0;     // the list kept for a start without its source; two while it is written
-  std::size_t consul_answer = 32 * 1024 * 1024;  // one answer, read piece by piece
-  std::size_t consul_host = 64 * 1024;           // one host's part of it
-  std::size_t fleet_answer = 8 * 1024 * 1024;    // the relays' own registrations, or all roles' keys
+  std::size_t consul_answer = 32 * kMiB;  // one answer, read piece by piece
+  std::size_t consul_host = 64 * kKiB;    // one host's part of it
+  std::size_t fleet_answer = 8 * kMiB;    // the relays' own registrations, or all roles' keys
   // The list that is shared: Consul takes 512 KiB in one transaction, and a third of it is what base64 adds.
-  std::size_t fleet_list = 360 * 1024;
+  std::size_t fleet_list = 360 * kKiB;
   std::size_t fleet_ailing = 256;        // endpoints in one relay's report of what rests
-  std::size_t fleet_value = 512 * 1024;  // one key's value, as Consul bounds it
+  std::size_t fleet_value = 512 * kKiB;  // one key's value, as Consul bounds it
 
   // Counts.
   std::size_t downstream_connections = 0;
--- a/src/handover/frame.hpp
+++ b/src/handover/frame.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "byte_units.hpp"
 #include "handover.hpp"
 
 namespace fennellane::handover {
@@ -22,7 +23,7 @@
 
 class FrameReader {
  public:
-  explicit FrameReader(std::size_t most_body = 4 * 1024 * 1024) : most_body_(most_body) {}
+  explicit FrameReader(std::size_t most_body = 4 * kMiB) : most_body_(most_body) {}
   void feed(std::string_view bytes) { bytes_ += bytes; }
   // The next whole message, if there is one. Throws FrameError for what is none; the connection is of no use
   // then.
--- a/src/handover/handover.hpp
+++ b/src/handover/handover.hpp
@@ -25,6 +25,8 @@
 #include <variant>
 #include <vector>
 
+#include "byte_units.hpp"
+
 namespace fennellane::handover {
 
 using Time = std::chrono::microseconds;  // a point on the caller's clock, or a span
@@ -72,10 +74,10 @@
 
 // --- Time limits, each for one step
 struct Limits {
-  Time start = std::chrono::seconds(10);            // from the start of the new program to its `accept`
-  Time state = std::chrono::milliseconds(400);      // from the freeze to `ready`: clients wait for so long
-  Time taken = std::chrono::milliseconds(200);      // from `go` to `taken`
-  std::uint64_t most_state = 512ull * 1024 * 1024;  // bytes
+  Time start = std::chrono::seconds(10);        // from the start of the new program to its `accept`
+  Time state = std::chrono::milliseconds(400);  // from the freeze to `ready`: clients wait for so long
+  Time taken = std::chrono::milliseconds(200);  // from `go` to `taken`
+  std::uint64_t most_state = 512 * kMiB;        // bytes
 };
 
 // --- The old side
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "record_codec.hpp"
+#include "write_all.hpp"
 
 namespace fennellane {
 
@@ -35,17 +36,6 @@
   throw JournalError(failure_text(operation, error), error);
 }
 
-// 0, or the errno.
-int write_all(int fd, std::string_view text) {
-  while (!text.empty()) {
-    const ssize_t n = ::write(fd, text.data(), text.size());
-    if (n < 0 && errno == EINTR) continue;
-    if (n <= 0) return n == 0 ? ENOSPC : errno;
-    text.remove_prefix(static_cast<std::size_t>(n));
-  }
-  return 0;
-}
-
 std::string read_all(int fd, const std::string& what) {
   std::string text;
   char piece[16384];
--- a/src/journal/record_codec.cpp
+++ b/src/journal/record_codec.cpp
@@ -2,10 +2,12 @@
 
 #include <zlib.h>
 
+#include "byte_units.hpp"
+
 namespace fennellane::journal {
 namespace {
 
-constexpr std::size_t kMostRecord = 1024 * 1024;  // far over any record that is written
+constexpr std::size_t kMostRecord = kMiB;  // far over any record that is written
 
 std::uint32_t checksum(std::string_view text) {
   return static_cast<std::uint32_t>(
--- a/src/release/coordinator.cpp
+++ b/src/release/coordinator.cpp
@@ -96,7 +96,8 @@
   State next = *state_;
   next.phase = of_health && state_->auto_back ? Phase::back : Phase::halted;
   next.why = why;
-  write(std::move(next), std::string(name_of(next.phase)) + ": " + why, out);
+  const std::string said = std::string(name_of(next.phase)) + ": " + why;
+  write(std::move(next), said, out);
 }
 
 void Coordinator::gather(Time now, Effects& out) {
--- a/src/upgrade/channel.cpp
+++ b/src/upgrade/channel.cpp
@@ -6,11 +6,13 @@
 #include <cerrno>
 #include <cstring>
 
+#include "byte_units.hpp"
+
 namespace fennellane::upgrade {
 namespace {
 
 constexpr std::size_t kMostDescriptors = 250;  // of one message; the kernel takes 253
-constexpr std::size_t kPiece = 64 * 1024;
+constexpr std::size_t kPiece = 64 * kKiB;
 
 [[noreturn]] void fail(const char* what) {
   throw ChannelError(std::string(what) + ": " + std::strerror(errno));
--- a/src/upgrade/old_process.cpp
+++ b/src/upgrade/old_process.cpp
@@ -9,6 +9,7 @@
 #include <exception>
 #include <system_error>
 
+#include "byte_units.hpp"
 #include "clock.hpp"
 #include "fault.hpp"
 
@@ -17,7 +18,7 @@
 
 using namespace handover;
 
-constexpr std::size_t kStatePart = 256 * 1024;
+constexpr std::size_t kStatePart = 256 * kKiB;
 constexpr std::size_t kDescriptorsPart = 200;
 constexpr Versions kVersions{};
 
--- a/tests/journal_property_test.cpp
+++ b/tests/journal_property_test.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 
 #include "journal.hpp"
+#include "temporary_folder.hpp"
 
 namespace fennellane {
 namespace {
@@ -17,21 +18,6 @@
 
 constexpr std::uint64_t kMostBytes = 6000;
 
-class TemporaryFolder {
- public:
-  TemporaryFolder() {
-    std::string name = (fs::temp_directory_path() / "journal-XXXXXX").string();
-    path_ = mkdtemp(name.data());
-  }
-  ~TemporaryFolder() { fs::remove_all(path_); }
-  TemporaryFolder(const TemporaryFolder&) = delete;
-  TemporaryFolder& operator=(const TemporaryFolder&) = delete;
-  std::string path() const { return path_; }
-
- private:
-  std::string path_;
-};
-
 // A disk on which no file grows beyond a size.
 class Disk {
  public:
@@ -66,7 +52,7 @@
 
 // What the next life reads after a crash at this moment, `torn` bytes of the next record already written.
 Held after_a_crash(const std::string& folder, std::size_t torn) {
-  const TemporaryFolder copy;
+  const standin::TemporaryFolder copy("journal");
   fs::copy_file(folder + "/journal", copy.path() + "/journal");
   std::ofstream(copy.path() + "/journal", std::ios::app | std::ios::binary) << std::string(torn, '\x07');
   return held_of(Journal(copy.path(), kMostBytes));
@@ -155,7 +141,7 @@
     model_[stream] = text_of(e);
   }
 
-  const TemporaryFolder folder_;
+  const standin::TemporaryFolder folder_{"journal"};
   Disk disk_;
   Journal journal_;
   StreamId next_ = 1;
@@ -176,7 +162,7 @@
 // Guards against bytes that changed on the disk: what is read is what had been recorded, up to some point.
 TEST(JournalProperty, ReadsNothingThatWasNotRecordedFromAFileThatWasDamaged) {
   EXPECT_TRUE(rc::check([] {
-    const TemporaryFolder folder;
+    const standin::TemporaryFolder folder("journal");
     std::vector<Held> moments{{}};
     {
       Journal journal(folder.path(), kMostBytes);
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -11,6 +11,7 @@
 #include <iterator>
 
 #include "record_codec.hpp"
+#include "temporary_folder.hpp"
 
 namespace fennellane {
 namespace {
@@ -18,25 +19,15 @@
 namespace fs = std::filesystem;
 using std::chrono::seconds;
 
-class Folder {
+class Folder : public standin::TemporaryFolder {
  public:
-  Folder() {
-    std::string name = (fs::temp_directory_path() / "journal-XXXXXX").string();
-    path_ = mkdtemp(name.data());
-  }
-  ~Folder() { fs::remove_all(path_); }
-  Folder(const Folder&) = delete;
-  Folder& operator=(const Folder&) = delete;
-  std::string path() const { return path_; }
-  std::string file() const { return path_ + "/journal"; }
+  Folder() : TemporaryFolder("journal") {}
+  std::string file() const { return path() + "/journal"; }
   std::string text() const {
     std::ifstream in(file(), std::ios::binary);
     return {std::istreambuf_iterator<char>(in), {}};
   }
   void write(const std::string& text) const { std::ofstream(file(), std::ios::binary) << text; }
-
- private:
-  std::string path_;
 };
 
 constexpr std::uint64_t kBig = 1 << 20;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -12,6 +12,7 @@
 #include "consul_agent.hpp"
 #include "list_store.hpp"
 #include "net_fixture.hpp"
+#include "temporary_folder.hpp"
 #include "watch_plan.hpp"
 
 namespace fennellane {
@@ -399,11 +400,6 @@
 // --- What is kept for the next life
 class Store : public testing::Test {
  protected:
-  Store() {
-    std::string name = (std::filesystem::temp_directory_path() / "list-XXXXXX").string();
-    folder = mkdtemp(name.data());
-  }
-  ~Store() override { std::filesystem::remove_all(folder); }
   std::map<std::string, Instance> loaded(const ConsulSettings& settings, std::string* wrong = nullptr) {
     std::map<std::string, Instance> out;
     const std::string said =
@@ -412,7 +408,8 @@
     return out;
   }
   Pipeline p;
-  std::string folder;
+  const standin::TemporaryFolder temporary_folder{"list"};
+  const std::string& folder = temporary_folder.path();
 };
 
 TEST_F(Store, GivesBackWhatWasKept) {
