--- a/src/io/log.cpp
+++ b/src/io/log.cpp
@@ -1,9 +1,14 @@
 #include "log.hpp"
 
+#include <fcntl.h>
 #include <json/json.h>
 #include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <sys/ioctl.h>
+#include <unistd.h>
+
+#include <utility>
 
 namespace fennellane {
 namespace {
@@ -20,6 +25,35 @@
   }
 }
 
+// Whether a line could block its writer: standard error is a pipe that nobody reads. One that holds less than
+// this part of what it may hold has room for a line, however its pages are filled.
+bool is_blocked_pipe(int descriptor) {
+  constexpr int kPartHeld = 4;
+  const int capacity = ::fcntl(descriptor, F_GETPIPE_SZ);
+  int held = 0;
+  return capacity > 0 && ::ioctl(descriptor, FIONREAD, &held) == 0 && held > capacity / kPartHeld;
+}
+
+// Bytes of a text in quotes: with the other fields, less than a pipe takes in one piece.
+constexpr std::size_t kMostText = 3600;
+
+std::string quoted(std::string_view text) { return Json::valueToQuotedString(std::string(text).c_str()); }
+
+// Guards against a line that a peer's text breaks in two and so forges another.
+std::string on_one_line(std::string text) {
+  for (char& c : text) {
+    if (c == '\n' || c == '\r') c = ' ';
+  }
+  return text;
+}
+
+// As much of it as has room in one line of any form.
+std::string cut_to_fit(std::string text) {
+  if (text.size() > kMostText) text.resize(kMostText);
+  while (quoted(text).size() > kMostText) text.resize(text.size() - text.size() / 8);
+  return text;
+}
+
 }  // namespace
 
 Log::Log(const std::string& name, const LogSettings& settings)
@@ -35,23 +69,26 @@
 Log::~Log() = default;
 
 void Log::write(std::string_view part, const std::string& text) {
+  if (is_blocked_pipe(STDERR_FILENO)) {
+    ++unwritten_;
+    return;
+  }
+  std::string shown = cut_to_fit(text);
+  if (unwritten_ > 0) shown += " (" + std::to_string(std::exchange(unwritten_, 0)) + " lines had no room)";
+  logger_->log(spdlog::level::info, payload(part, shown));
+}
+
+std::string Log::payload(std::string_view part, const std::string& text) const {
   const std::string& name = logger_->name();
-  const auto quoted = [](std::string_view s) { return Json::valueToQuotedString(std::string(s).c_str()); };
-  std::string line;
-  if (form_ == LogForm::logfmt) {
-    line =
-        "relay=" + quoted(name) + " part=" + quoted(part.empty() ? "relay" : part) + " msg=" + quoted(text);
-  } else if (form_ == LogForm::json) {
-    line = "\"relay\":" + quoted(name) + ",\"part\":" + quoted(part.empty() ? "relay" : part) +
-           ",\"msg\":" + quoted(text);
-  } else {
-    line = name + ": " + std::string(part) + (part.empty() ? "" : ": ") + text;
-    // Guards against a line that a peer's text breaks in two and so forges another.
-    for (char& c : line) {
-      if (c == '\n' || c == '\r') c = ' ';
-    }
+  const std::string_view speaker = part.empty() ? "relay" : part;
+  switch (form_) {
+    case LogForm::logfmt:
+      return "relay=" + quoted(name) + " part=" + quoted(speaker) + " msg=" + quoted(text);
+    case LogForm::json:
+      return "\"relay\":" + quoted(name) + ",\"part\":" + quoted(speaker) + ",\"msg\":" + quoted(text);
+    default:
+      return on_one_line(name + ": " + std::string(part) + (part.empty() ? "" : ": ") + text);
   }
-  logger_->log(spdlog::level::info, line);
 }
 
 void Log::operator()(std::string_view part, const std::string& text) {
--- a/src/io/log.hpp
+++ b/src/io/log.hpp
@@ -1,6 +1,7 @@
-// Lines on standard error, so many at most: what the network brings must not fill a disk. Written with
-// spdlog, in one of three forms that have the same fields: time, level, relay, part, msg (plain leaves out
-// time and level).
+// Lines on standard error, so many at most: what the network brings must not fill a disk. A line that would
+// block, on a pipe that nobody reads, is left out, and one that is longer than a pipe takes in one piece is
+// cut. Written with spdlog, in one of three forms that have the same fields: time, level, relay, part, msg
+// (plain leaves out time and level).
 #pragma once
 
 #include <memory>
@@ -24,14 +25,17 @@
 
   // `part` says who speaks ("journal", "consul"); an empty one, the relay itself.
   void operator()(std::string_view part, const std::string& text);
-  // Always written, and flushed.
+  // Always written, and flushed, but where standard error is a pipe that nobody reads.
   void report(const std::string& text);
 
  private:
   void write(std::string_view part, const std::string& text);
+  // All of a line but what its pattern adds.
+  std::string payload(std::string_view part, const std::string& text) const;
 
   const LogForm form_;
   std::size_t left_;
+  std::size_t unwritten_ = 0;  // lines, since standard error is a pipe that nobody reads
   const std::unique_ptr<spdlog::logger> logger_;
 };
 
