An answer of a host counts only for the call that it surely answers

Answers carry no id, and a kept connection's next bytes were taken for the newest call's answer, so one copy shifted every later answer by one call.

A state machine without I/O (src/http/answer_pairing) lets a connection carry two calls: the first, whose answer is the first that comes, and a second that asks for the close, whose answer is the one that says so. All else is passed over, counted and noted; where a contrary answer stands in one piece with the call's own, the call is in doubt. No timer is in it, so it holds for every delay and number of copies. A refusal on a connection that the relay itself has closed is no longer taken for a host's limit on connections. fennellane why tells each call's connection and what was passed over on it.

--- a/include/starlinghook/delivery.hpp
+++ b/include/starlinghook/delivery.hpp
@@ -131,7 +131,9 @@
   // What the caller's connection showed.
   // A failure that tells of its connection alone: that was up and broke; full: it found no place.
   bool connection_only = false;
-  Time idle{-1};  // of the connection before the call; 0 = a new one, less = not told
+  Time idle{-1};                   // of the connection before the call; 0 = a new one, less = not told
+  bool connection_closed = false;  // it carries no other call, however this one ended
+  bool close_requested = false;    // by the call: that it closed tells nothing
 };
 struct ProbeEnded {
   EndpointId endpoint = 0;
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -25,6 +25,8 @@
   add("connects", c.connects);
   add("reused", c.reused);
   add("spoilt", c.spoilt);
+  add("strays.hosts", c.strays);
+  add("strays.agents", c.agent_strays);
   add("delivered", c.delivered);
   add("late", c.late);
   add("withdrawn", c.withdrawn);
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -24,7 +24,9 @@
   std::array<std::uint64_t, kOutcomes> outcomes{};
   std::uint64_t connects = 0;
   std::uint64_t reused = 0;
-  std::uint64_t spoilt = 0;  // answers that cannot be read or are none that the protocol knows
+  std::uint64_t spoilt = 0;        // answers that cannot be read or are none that the protocol knows
+  std::uint64_t strays = 0;        // bytes on connections to hosts that answered no call, each time
+  std::uint64_t agent_strays = 0;  // likewise to the platform and to Consul's agent
   // Ends.
   std::uint64_t delivered = 0;
   std::uint64_t late = 0;       // of these, after their class's aim; without those of an earlier life
--- a/src/core/limits.hpp
+++ b/src/core/limits.hpp
@@ -92,6 +92,7 @@
   Time lock_wait = std::chrono::seconds(2);  // for a process before this one to let go of the state folder
   Time loop_look = std::chrono::milliseconds(50);  // at how late the loop runs
   Time loop_beat = std::chrono::seconds(1);        // and how often that is noted
+  Time stray_gap = std::chrono::seconds(1);        // between two lines on bytes that answer no call
   Time list_gap = std::chrono::seconds(2);         // between two times that the list is kept
   Time most_budget = std::chrono::hours(24);
   // From SIGTERM on: idle clients are sent away, then no call starts that may outlast the end, then the end.
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -157,6 +157,8 @@
   ended.report = c.report;
   ended.connection_only = c.connection_only;
   ended.idle = c.idle;
+  ended.connection_closed = c.connection_closed;
+  ended.close_requested = c.close_requested;
   if (too_late) {
     ++counters_.undeliverable;
     give_up(c.stream, Verdict::undeliverable, Time(0), starlinghook::GiveUpReason::answered_late);
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -58,8 +58,10 @@
   Time told_wait{};
   bool no_slot = false;
   starlinghook::LoadReport report;
-  bool connection_only = false;  // the connection was up and broke; full: the host had no place for it
-  Time idle{};                   // of the connection before the call; 0 = a new one
+  bool connection_only = false;   // the connection was up and broke; full: the host had no place for it
+  Time idle{};                    // of the connection before the call; 0 = a new one
+  bool connection_closed = true;  // it carries no other call
+  bool close_requested = false;   // by the call
 };
 struct ClusterChanged {
   HostList list;
--- a/src/delivery_policy.cpp
+++ b/src/delivery_policy.cpp
@@ -256,7 +256,7 @@
     auto call = calls_.find(m.call);
     learn(endpoint, e, m.sent_at);
     learn_risk(e);
-    if (--call->second.outstanding == 0) close_call(call->first, e.outcome, e.connection_only);
+    if (--call->second.outstanding == 0) close_call(call->first, e);
     m.call = 0;
     bool doubtful = e.outcome == Outcome::error || e.outcome == Outcome::timeout ||
                     e.outcome == Outcome::reset || e.outcome == Outcome::cancelled;
@@ -373,8 +373,8 @@
         break;
       case Outcome::full:
         // Guards against an endpoint's limit on connections being taken for one on calls: it says so, or a
-        // new connection is refused while others of this forwarder work.
-        if (e.connection_only || (e.idle == Time(0) && e.told_wait == Time(0) && endpoint.out.size() > 1)) {
+        // new connection is refused and closed while others of this forwarder work.
+        if (e.connection_only || (may_lack_a_connection(e) && endpoint.out.size() > 1)) {
           endpoint.most_out = static_cast<double>(endpoint.out.size()) - 1;
           endpoint.crowded_at = now_;
           endpoint.crowded_gap = s_.overload_time / kCrowdedPart;
@@ -411,6 +411,12 @@
     }
   }
 
+  // Whether a refusal may be one of a new connection: it closed unasked behind the answer, which says nothing
+  // of load.
+  static bool may_lack_a_connection(const AttemptEnded& e) {
+    const bool closed_unasked = e.connection_closed && !e.close_requested;
+    return e.idle == Time(0) && closed_unasked && e.told_wait == Time(0) && !e.report.present;
+  }
   // Guards against a whole destination resting for one endpoint that is gone before the list has told it.
   bool sibling_works(const Endpoint& gone) const {
     const auto& all = destinations_.at(gone.entry.destination).endpoints;
@@ -557,7 +563,9 @@
   bool many(const Route& r) const { return s_.forwarders >= kMany && !crowded(r); }
   double even() const { return 1 / static_cast<double>(s_.forwarders); }
 
-  void close_call(std::size_t id, Outcome outcome, bool connection_only) {
+  void close_call(std::size_t id, const AttemptEnded& ended) {
+    const Outcome outcome = ended.outcome;
+    const bool connection_only = ended.connection_only;
     Call call = calls_.at(id);
     Endpoint& endpoint = endpoints_.at(call.endpoint);
     const Time span = now_ - call.sent_at, stall = stall_time(*endpoint.route);
@@ -577,11 +585,9 @@
       const double log_took = std::log(std::max(1e-3, took));  // the slow ones weigh little in its mean
       usual_answer_ += (usual_answer_ < kNoLimit ? kLatencyStep : 1) * (log_took - usual_answer_);
     }
-    if (answered(outcome) && !connection_only) {
-      endpoint.last_used = now_;
-    } else if (endpoint.connections > 0) {
-      --endpoint.connections;
-    }
+    const bool answered_call = answered(outcome) && !connection_only;
+    if (answered_call) endpoint.last_used = now_;
+    if ((!answered_call || ended.connection_closed) && endpoint.connections > 0) --endpoint.connections;
     if (outcome == Outcome::connect_failed && !connection_only) find_scarce(endpoint, false);
     if (scarce(endpoint)) close_idle(endpoint);
     calls_.erase(id);
--- a/src/handover/handover.hpp
+++ b/src/handover/handover.hpp
@@ -34,7 +34,7 @@
 
 // --- What goes over the connection between the two
 struct Versions {
-  std::uint32_t handover = 1;  // of these messages and of the state
+  std::uint32_t handover = 2;  // of these messages and of the state
   std::uint32_t journal = 1;   // of the journal's records
   bool operator==(const Versions&) const = default;
 };
--- /dev/null
+++ b/src/http/answer_meaning.cpp
@@ -0,0 +1,82 @@
+#include "answer_meaning.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace fennellane {
+
+using starlinghook::Outcome;
+
+AnswerMeaning meaning(const HttpReader& answer) {
+  AnswerMeaning m;
+  constexpr std::uint64_t kMostWait = 1000ull * 60 * 60 * 24;
+  switch (answer.status()) {
+    case 200:
+      m.outcome = Outcome::delivered;
+      break;
+    case 500:
+      m.outcome = Outcome::error;
+      break;
+    case 429:
+      m.outcome = Outcome::full;
+      if (const auto wait = answer.header("x-come-back-ms")) {
+        // Guards against losing a wait that is not written as a whole number: it is rounded up.
+        double ms = 0;
+        const auto [end, error] = std::from_chars(wait->data(), wait->data() + wait->size(), ms);
+        if (error == std::errc() && ms > 0) {
+          m.told_wait = std::chrono::milliseconds(
+              std::min(kMostWait, static_cast<std::uint64_t>(std::ceil(std::min(ms, 1e12)))));
+        }
+      }
+      break;
+    case 503:
+      m.no_slot = answer.header("x-line-busy") == "1";
+      m.outcome = m.no_slot ? Outcome::not_sent : Outcome::full;
+      break;
+    case 504:
+      m.outcome = Outcome::not_sent;
+      break;
+    case 410:
+      m.outcome = Outcome::not_sent;
+      m.over = true;
+      break;
+    default:  // nothing that the protocol knows: it may have run
+      m.known = false;
+  }
+  return m;
+}
+
+namespace {
+constexpr double kMostReport = 1e9;  // calls a second
+}
+
+starlinghook::LoadReport load_report(std::string_view text, const wire::BootInfo& boot) {
+  starlinghook::LoadReport report;
+  if (!boot.settings.reports_allowance) return report;
+  const std::string& allowance = boot.report_names[static_cast<std::size_t>(boot.allowance_field)];
+  const std::string& limit = boot.report_names[static_cast<std::size_t>(boot.limit_field)];
+  bool has_allowance = false, has_limit = false;
+  while (!text.empty()) {
+    const std::string_view pair = text.substr(0, text.find(','));
+    text.remove_prefix(std::min(text.size(), pair.size() + 1));
+    const std::size_t equals = pair.find('=');
+    if (equals == std::string_view::npos) return {};
+    const std::string_view name = pair.substr(0, equals), number = pair.substr(equals + 1);
+    if (name != allowance && name != limit) continue;
+    double& field = name == allowance ? report.allowance_left : report.limit;
+    bool& seen = name == allowance ? has_allowance : has_limit;
+    const char* const last = number.data() + number.size();
+    const auto [end, error] = std::from_chars(number.data(), last, field);
+    // Guards against half a report: one that cannot be read in every part is none.
+    if (seen || error != std::errc() || end != last || !std::isfinite(field) || field < 0 ||
+        field > kMostReport) {
+      return {};
+    }
+    seen = true;
+  }
+  report.present = has_allowance && has_limit;
+  return report;
+}
+
+}  // namespace fennellane
--- /dev/null
+++ b/src/http/answer_meaning.hpp
@@ -0,0 +1,24 @@
+// What a host's answer means for its call, by the protocol's table, and the load report that it may carry.
+#pragma once
+
+#include <string_view>
+
+#include "config.hpp"
+#include "http.hpp"
+#include "reducer.hpp"
+
+namespace fennellane {
+
+struct AnswerMeaning {
+  starlinghook::Outcome outcome = starlinghook::Outcome::error;
+  bool over = false;
+  bool no_slot = false;
+  bool known = true;
+  Time told_wait{};
+};
+AnswerMeaning meaning(const HttpReader& answer);
+
+// None where any part of it cannot be read.
+starlinghook::LoadReport load_report(std::string_view text, const wire::BootInfo& boot);
+
+}  // namespace fennellane
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -14,6 +14,21 @@
 
 char lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
 
+constexpr std::string_view kVersion = "HTTP/1.";
+constexpr std::size_t kStatusLineBegin = kVersion.size() + 5;  // "HTTP/1.1 200"
+
+// How many status lines begin in a text, before a position in it.
+unsigned status_lines_in(std::string_view text, std::size_t end = std::string_view::npos) {
+  unsigned count = 0;
+  for (std::size_t at = 0; (at = text.find(kVersion, at)) < end; ++at) {
+    const std::string_view line = text.substr(at, kStatusLineBegin);
+    if (line.size() < kStatusLineBegin) break;
+    const char status = line[kVersion.size() + 2];
+    if (line[kVersion.size() + 1] == ' ' && std::isdigit(static_cast<unsigned char>(status)) != 0) ++count;
+  }
+  return count;
+}
+
 }  // namespace
 
 HttpReader::HttpReader(Kind kind, std::size_t most_head, std::size_t most_body)
@@ -26,14 +41,22 @@
   parser_.data = this;
   head_size_ = 0;
   first_line_.clear();
+  reason_.clear();
+  newest_.clear();
+  status_lines_ = 0;
   target_.clear();
   headers_.clear();
   in_value_ = false;
   body_.clear();
-  started_ = head_done_ = done_ = keep_alive_ = false;
+  started_ = head_done_ = done_ = keep_alive_ = says_close_ = false;
   refusal_ = 0;
 }
 
+void HttpReader::refuse() {
+  done_ = false;
+  refusal_ = kBadRequest;
+}
+
 bool HttpReader::grow_head(std::size_t count) {
   head_size_ += count;
   if (head_size_ <= most_head_) return true;
@@ -50,7 +73,9 @@
   // HTTP/0.9 answers have no head, and what another major version means is not known here.
   if (parser_.http_major != 1) refusal_ = kNoSuchVersion;
   if (refusal_ == 0) refusal_ = framing_fault();
+  if (refusal_ == 0 && kind_ == Kind::response && joins_two_answers()) refusal_ = kBadRequest;
   if (refusal_ != 0) return -1;
+  says_close_ = (parser_.flags & F_CONNECTION_CLOSE) != 0;
   // Guards against taking in a body only to refuse it; without a length it grows to the bound.
   if ((parser_.flags & F_CONTENTLENGTH) && parser_.content_length > most_body_) {
     refusal_ = kTooLarge;
@@ -85,6 +110,25 @@
   return lengths + codings > 1 ? kBadRequest : 0;
 }
 
+// Guards against half an answer with a whole one behind it being read as one answer, with the status of the
+// first and the headers of the second.
+bool HttpReader::joins_two_answers() const {
+  return status_lines_in(reason_) > 0 ||
+         std::any_of(headers_.begin(), headers_.end(),
+                     [](const auto& header) { return status_lines_in(header.second) > 0; });
+}
+
+// Counted over the bytes as they come, since a head that cannot be read leaves nothing else behind. A line
+// that begins in the taken ones may end in those behind them.
+void HttpReader::count_status_lines(std::string_view bytes, std::size_t taken) {
+  constexpr std::size_t kKept = kStatusLineBegin - 1;  // holds none
+  const std::string seam = newest_ + std::string(bytes.substr(0, kKept));
+  status_lines_ += status_lines_in(seam, newest_.size());
+  status_lines_ += status_lines_in(bytes, taken);
+  newest_ += bytes.substr(taken - std::min(taken, kKept), std::min(taken, kKept));
+  if (newest_.size() > kKept) newest_.erase(0, newest_.size() - kKept);
+}
+
 bool HttpReader::first_line_says(unsigned status) const {
   const std::string_view line = first_line_;
   if (line.size() < kFirstLine || !line.starts_with("HTTP/1.") || (line[7] != '0' && line[7] != '1'))
@@ -108,6 +152,12 @@
       static_cast<HttpReader*>(p->data)->started_ = true;
       return 0;
     };
+    s.on_status = [](http_parser* p, const char* at, std::size_t n) {
+      auto& r = *static_cast<HttpReader*>(p->data);
+      if (!r.grow_head(n)) return -1;
+      r.reason_.append(at, n);
+      return 0;
+    };
     s.on_url = [](http_parser* p, const char* at, std::size_t n) {
       auto& r = *static_cast<HttpReader*>(p->data);
       if (!r.grow_head(n)) return -1;
@@ -159,7 +209,10 @@
   if (kind_ == Kind::response && first_line_.size() < kFirstLine) note_first_line(bytes);
   const std::size_t used = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
   if (!done_ && refusal_ == 0 && HTTP_PARSER_ERRNO(&parser_) != HPE_OK) refusal_ = kBadRequest;
-  return std::min(used, bytes.size());
+  const std::size_t taken = std::min(used, bytes.size());
+  // Where it cannot be read, what follows may be another answer all the same.
+  if (kind_ == Kind::response) count_status_lines(bytes, failed() ? bytes.size() : taken);
+  return taken;
 }
 
 void HttpReader::end_of_input() {
--- a/src/http/http.hpp
+++ b/src/http/http.hpp
@@ -24,6 +24,7 @@
   std::size_t feed(std::string_view bytes);
   void end_of_input();  // ends a response that has no length
   void reset();         // ready for the next message
+  void refuse();        // the message fails, whatever has come of it
 
   bool started() const { return started_; }
   bool head_done() const { return head_done_; }
@@ -31,10 +32,15 @@
   bool failed() const { return refusal_ != 0; }
   unsigned refusal() const { return refusal_; }  // the status that a failed request is answered with
   bool keep_alive() const { return keep_alive_; }
+  // In so many words, `Connection: close`, in a head that can be read.
+  bool says_close() const { return says_close_; }
 
   unsigned status() const { return parser_.status_code; }
   // Of a response: whether its first line says so, whatever became of the rest.
   bool first_line_says(unsigned status) const;
+  // Of a response: whether a second status line begins in what has come of it, head or body. It may be two
+  // answers of which the first broke off.
+  bool holds_another_answer() const { return status_lines_ > 1; }
   std::string_view method() const;
   const std::string& target() const { return target_; }
   // By its name in lower case; a single comma for one that came twice.
@@ -51,7 +57,9 @@
   bool grow_head(std::size_t count);
   int head_complete();
   unsigned framing_fault() const;
+  bool joins_two_answers() const;
   void note_first_line(std::string_view bytes);
+  void count_status_lines(std::string_view bytes, std::size_t taken);
 
   const Kind kind_;
   const std::size_t most_head_;
@@ -59,6 +67,9 @@
   http_parser parser_{};
   std::size_t head_size_ = 0;
   std::string first_line_;  // of a response, its beginning
+  std::string reason_;      // of a response, what its first line says behind the status
+  unsigned status_lines_ = 0;
+  std::string newest_;  // of a response, its last bytes, which may begin a status line
   std::string target_;
   std::vector<std::pair<std::string, std::string>> headers_;
   bool in_value_ = false;
@@ -67,6 +78,7 @@
   bool head_done_ = false;
   bool done_ = false;
   bool keep_alive_ = false;
+  bool says_close_ = false;
   unsigned refusal_ = 0;
 };
 
--- a/src/http/http_memory.hpp
+++ b/src/http/http_memory.hpp
@@ -34,8 +34,8 @@
   parser_.http_errno = pass(unsigned{parser_.http_errno});
   parser_.upgrade = pass(unsigned{parser_.upgrade});
   archive(parser_.nread, parser_.content_length, parser_.http_major, parser_.http_minor);
-  archive(head_size_, first_line_, target_, headers_, in_value_, body_, started_, head_done_, done_,
-          keep_alive_, refusal_);
+  archive(head_size_, first_line_, reason_, status_lines_, newest_, target_, headers_, in_value_, body_,
+          started_, head_done_, done_, keep_alive_, says_close_, refusal_);
 }
 
 template <class Archive>
--- a/src/http/upstream.hpp
+++ b/src/http/upstream.hpp
@@ -12,25 +12,17 @@
 #include "counters.hpp"
 #include "descriptor.hpp"
 #include "http.hpp"
+#include "limited_log.hpp"
+#include "recorder.hpp"
 #include "reducer.hpp"
 
 namespace fennellane {
 
-// What an answer means, by the protocol's table.
-struct AnswerMeaning {
-  starlinghook::Outcome outcome = starlinghook::Outcome::error;
-  bool over = false;
-  bool no_slot = false;
-  bool known = true;
-  Time told_wait{};
-};
-AnswerMeaning meaning(const HttpReader& answer);
-starlinghook::LoadReport load_report(std::string_view text, const wire::BootInfo& boot);
-
 class Upstream {
  public:
   using OnEnd = std::function<void(const CallEnded&)>;
-  Upstream(asio::io_context& io, const Config& config, Counters& counters, OnEnd on_end);
+  Upstream(asio::io_context& io, const Config& config, Counters& counters, Log& log, record::Recorder& record,
+           OnEnd on_end);
   ~Upstream();
 
   // Each call ends once, by `on_end`, and never before this returns.
@@ -62,14 +54,23 @@
   Pointer take_idle(HostId host);
   void forget_idle(const Connection& connection);
   bool make_room();
+  // Whether the host says `Connection: close` where it is asked for the close. Only then a connection to it
+  // is used again, since its answers could not be told apart.
+  bool says_close(HostId host) const;
+  void note_says_close(HostId host, bool said);
   void report_unsent();
   void report(const CallEnded& end);
 
   asio::io_context& io_;
   const Config& config_;
   Counters& counters_;
+  LimitedLog stray_log_;
+  record::Recorder& record_;
+  std::uint32_t last_connection_ = 0;  // numbers them in the record
   OnEnd on_end_;
   std::unordered_map<StreamId, Pointer> calls_;  // out now
+  std::unordered_map<HostId, bool> says_close_;  // of those that were asked
+  bool last_said_close_ = false;
   std::map<HostId, std::vector<Pointer>> idle_;  // the most recently used last; none is empty
   // Calls that do not go out, with their attempts; they end in the loop's next turn.
   std::vector<std::pair<StreamId, std::uint32_t>> unsent_;
--- /dev/null
+++ b/src/io/unread_input.hpp
@@ -0,0 +1,16 @@
+// What waits to be read on a socket, without reading it.
+#pragma once
+
+namespace fennellane {
+
+enum class UnreadInput {
+  none,
+  bytes,
+  end,      // the peer has closed or reset the connection
+  unknown,  // for a shortage here
+};
+
+// Of a socket that is open; does not block.
+UnreadInput unread_input(int socket);
+
+}  // namespace fennellane
--- a/src/record/account.cpp
+++ b/src/record/account.cpp
@@ -172,7 +172,8 @@
       return;
     }
     case Kind::call:
-      by_stream(e).calls.push_back({std::string(e.name_text()), e.at, std::nullopt, {}, 0});
+      by_stream(e).calls.push_back(
+          {.host = std::string(e.name_text()), .from = e.at, .to = {}, .strays = {}});
       return;
     case Kind::call_ended: {
       Life& life = by_stream(e);
@@ -198,12 +199,36 @@
       if (life.end == End::delivered) ++(fate(life) == Fate::in_time ? s.in_time : s.late);
       return;
     }
+    case Kind::carried:
+      return take_carried(e);
+    case Kind::stray:
+      return take_stray(e);
+    case Kind::host_connection:
+      ++connection_ends_[bounded<ConnectionEnd>(e.code, kConnectionEnds)];
+      return;
     case Kind::load:
     case Kind::host:
       return;
   }
 }
 
+void Account::take_carried(const Entry& e) {
+  Life& life = by_stream(e);
+  if (life.calls.empty()) return;
+  CallSeen& call = life.calls.back();
+  call.nth = e.code;
+  call.connection = e.n[0];
+  call.asks_close = e.n[1] != 0;
+}
+
+void Account::take_stray(const Entry& e) {
+  ++strays_[std::string(e.name_text())];
+  if (e.subject == 0) return;
+  Life& life = by_stream(e);
+  if (life.calls.empty()) return;
+  life.calls.back().strays.push_back({e.at, e.code, bounded<StrayPlace>(e.n[1], kStrayPlaces)});
+}
+
 const Life* Account::find(const std::string& name) const {
   const auto kept = short_name(name);
   const std::string wanted(kept.data(), ::strnlen(kept.data(), kept.size()));
--- a/src/record/account.hpp
+++ b/src/record/account.hpp
@@ -22,12 +22,23 @@
 // Microseconds since 1970, as all times here.
 using Moment = std::int64_t;
 
+// Bytes that answered no call.
+struct StraySeen {
+  Moment at = 0;
+  std::uint16_t status = 0;  // of a whole answer
+  StrayPlace place{};
+};
+
 struct CallSeen {
   std::string host;  // its address, as short_name keeps it
   Moment from = 0;
   std::optional<Moment> to;  // none: still out, or its end is not in the record
   starlinghook::Outcome outcome{};
   std::uint32_t told_wait_ms = 0;
+  std::uint32_t connection = 0;  // 0: none of its bytes went out
+  std::uint16_t nth = 0;         // call of its connection
+  bool asks_close = false;
+  std::vector<StraySeen> strays;
 };
 
 struct Life {
@@ -93,9 +104,14 @@
                                                         Moment to) const;
   // How clients' connections ended.
   const std::map<CloseReason, std::size_t>& close_reasons() const { return close_reasons_; }
+  // How those to hosts ended, and how often bytes came from each address that answered no call.
+  const std::map<ConnectionEnd, std::size_t>& connection_ends() const { return connection_ends_; }
+  const std::map<std::string, std::size_t>& strays() const { return strays_; }
 
  private:
   void take(const Entry& e);
+  void take_carried(const Entry& e);
+  void take_stray(const Entry& e);
   Life& by_stream(const Entry& e);
   Second& second(Moment at);
 
@@ -105,6 +121,8 @@
   std::unordered_map<std::uint64_t, std::size_t> asking_;  // by connection
   std::unordered_map<std::uint64_t, std::size_t> streams_;
   std::map<CloseReason, std::size_t> close_reasons_;
+  std::map<ConnectionEnd, std::size_t> connection_ends_;
+  std::map<std::string, std::size_t> strays_;
 };
 
 }  // namespace fennellane::record
--- a/src/record/entry.hpp
+++ b/src/record/entry.hpp
@@ -30,8 +30,29 @@
   ended,     // subject: the stream; code: End
   host,      // subject: the host; code: its condition; n: destination, rate in thousandths; name: its id
   storage,   // began to fail, or works again; code: the errno, or 0
+  carried,   // a call's first byte is written; subject: the stream; code: which call of its connection;
+             // n: the connection, 1 if it asks for its close
+  stray,     // bytes that answer no call; subject: the stream that is out, or 0; code: the status of a whole
+             // answer, or 0; n: the connection, StrayPlace; name: the host's address
+  host_connection,  // one to a host ended; subject: it; code: ConnectionEnd; n: its calls, its age in ms;
+                    // name: the host's address
 };
-constexpr std::uint16_t kKinds = 17;
+constexpr std::uint16_t kKinds = 20;
+
+// Where bytes that answer no call came.
+enum class StrayPlace : std::uint16_t { before_first_call, resting, during_call, behind_answer };
+constexpr std::size_t kStrayPlaces = 4;
+
+// Why a connection to a host ended.
+enum class ConnectionEnd : std::uint16_t {
+  last_answer,  // behind the answer of its last call
+  call_failed,  // its call ended without an answer that it could go on from
+  by_host,      // while it rested
+  stray,        // bytes came that answer no call
+  idle,         // it had rested for its time
+  made_way,     // for another, or is no longer wanted
+};
+constexpr std::size_t kConnectionEnds = 6;
 
 enum class End : std::uint16_t { delivered, withdrawn, noticed };
 constexpr std::uint16_t kEnds = 3;
--- a/src/record/report.cpp
+++ b/src/record/report.cpp
@@ -16,6 +16,15 @@
 
 constexpr std::array<const char*, kOutcomes> kOutcomeTexts = {
     "error", "delivered", "turned away", "timed out", "could not connect", "reset", "cancelled", "not sent"};
+constexpr std::array<const char*, kStrayPlaces> kStrayPlaceTexts = {
+    "before the connection's first call", "while the connection rested", "while the call was out",
+    "behind the answer"};
+constexpr std::array<const char*, kConnectionEnds> kConnectionEndTexts = {"after their last call",
+                                                                          "after a call that failed",
+                                                                          "by the host",
+                                                                          "for bytes that answer no call",
+                                                                          "idle",
+                                                                          "made way"};
 constexpr std::array<const char*, kCloseReasons> kCloseReasonTexts = {
     "by the client", "idle", "half a request", "answer unread", "made way", "after its last answer"};
 
@@ -152,6 +161,13 @@
   for (const auto& [how, count] : account.close_reasons()) {
     out << "  " << count << ' ' << kCloseReasonTexts[static_cast<std::size_t>(how)];
   }
+  out << "\nconnections to hosts that ended:";
+  for (const auto& [how, count] : account.connection_ends()) {
+    out << "  " << count << ' ' << kConnectionEndTexts[static_cast<std::size_t>(how)];
+  }
+  out << "\nbytes that answered no call:";
+  if (account.strays().empty()) out << " none";
+  for (const auto& [host, count] : account.strays()) out << "  " << count << " times from " << host;
   out << '\n';
   print_seconds(account, most_seconds, out);
 }
@@ -175,7 +191,16 @@
     out << kOutcomeTexts[static_cast<std::size_t>(call.outcome)] << " after " << (*call.to - call.from) / 1000
         << " ms";
     if (call.told_wait_ms > 0) out << ", told to wait " << call.told_wait_ms << " ms";
+    if (call.connection != 0) {
+      out << ", call " << call.nth << " of connection " << call.connection
+          << (call.asks_close ? ", asking for its close" : "");
+    }
     out << '\n';
+    for (const StraySeen& stray : call.strays) {
+      out << clock_text(stray.at) << "    passed over: "
+          << (stray.status == 0 ? std::string("bytes") : "an answer " + std::to_string(stray.status))
+          << " that belongs to no call, " << kStrayPlaceTexts[static_cast<std::size_t>(stray.place)] << '\n';
+    }
   }
   const Moment end = life->given_up ? *life->given_up
                      : life->ended  ? *life->ended
@@ -212,8 +237,9 @@
 
 void print_raw(const Contents& contents, std::ostream& out) {
   constexpr std::array<const char*, kKinds> kTexts = {
-      "none",  "began",    "ready",    "signalled", "beat",       "load",     "no_place", "client",
-      "asked", "answered", "restored", "call",      "call_ended", "given_up", "ended",    "host"};
+      "none",   "began", "ready",    "signalled", "beat",  "load",           "no_place",
+      "client", "asked", "answered", "restored",  "call",  "call_ended",     "given_up",
+      "ended",  "host",  "storage",  "carried",   "stray", "host_connection"};
   for (const Entry& e : contents.entries) {
     out << e.sequence << ' ' << e.at << ' ' << kTexts[static_cast<std::size_t>(e.kind)]
         << " subject=" << e.subject << " code=" << e.code << " n=" << e.n[0] << ',' << e.n[1] << ','
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -34,7 +34,7 @@
       log_(config_.name, config_.log),
       journal_(std::move(journal)),
       reducer_(config_.boot.settings, config_.limits, journal_.next_stream(), counters_),
-      upstream_(io_, config_, counters_, [this](const CallEnded& ended) { input(ended); }),
+      upstream_(io_, config_, counters_, log_, record_, [this](const CallEnded& ended) { input(ended); }),
       notices_(io_, config_, counters_, log_, [this](StreamId stream) { input(NoticeTaken{stream}); }),
       downstream_(io_, config_, counters_, log_, record_,
                   [this](Offered offer) {
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -2,8 +2,11 @@
 // in docs/crossings.md names what is owed in each.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <chrono>
+#include <mutex>
 #include <thread>
+#include <vector>
 
 #include "relay_fixture.hpp"
 #include "upstream.hpp"
@@ -15,7 +18,7 @@
   return text.replace(text.find(part), part.size(), other);
 }
 std::string request_to(int destination, const std::string& id, const std::string& message_class = "pay") {
-  return with(request_text(id, "x", message_class), "dest=7", "dest=" + std::to_string(destination));
+  return request_text(id, "x", message_class, destination);
 }
 std::string undeliverable(const std::string& id) {
   return "{\"id\":\"" + id + "\",\"status\":\"undeliverable\"}";
@@ -312,7 +315,9 @@
     asio::io_context io;
     Counters counters;
     std::optional<CallEnded> ended;
-    Upstream upstream(io, config, counters, [&](const CallEnded& e) { ended = e; });
+    Log log("n0");
+    record::Recorder recorder;
+    Upstream upstream(io, config, counters, log, recorder, [&](const CallEnded& e) { ended = e; });
     StartCall call;
     call.stream = 1;
     call.address = host.address();
--- a/tests/parser_test.cpp
+++ b/tests/parser_test.cpp
@@ -2,10 +2,10 @@
 // and random garbage neither crashes nor throws nor grows without bound. The seeds are fixed.
 #include <gtest/gtest.h>
 
+#include "answer_meaning.hpp"
 #include "downstream.hpp"
 #include "net_fixture.hpp"
 #include "ring_buffer.hpp"
-#include "upstream.hpp"
 
 namespace fennellane {
 namespace {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1190,8 +1190,9 @@
   EXPECT_LT(held.back(), milliseconds(1200));
 }
 
-// An endpoint that takes only so many connections refuses a new one while others work. That is no limit on
-// calls: what waits goes out as calls end, none beyond them, and one more is tried only after a while.
+// An endpoint that takes only so many connections refuses a new one, and closes it, while others work. That
+// is no limit on calls: what waits goes out as calls end, none beyond them, and one more is tried only after
+// a while.
 TEST(ConnectionLimit, IsNoLimitOnCalls) {
   Settings s = settings();
   s.slots = 16;
@@ -1200,7 +1201,7 @@
   const std::size_t before = b.sent.size();
   for (MessageId id = 100; id < 110; ++id) b.message(id);
   ASSERT_EQ(b.sent.size(), before + 7) << "the window";
-  b.give(AttemptEnded{106, 0, 1, Outcome::full, false, Time(0), false, {}, false, Time(0)});
+  b.give(AttemptEnded{106, 0, 1, Outcome::full, false, Time(0), false, {}, false, Time(0), true});
   b.advance(milliseconds(100));
   EXPECT_EQ(b.sent.size(), before + 7) << "six work, and there is room for no more";
   for (MessageId id = 100; id < 103; ++id) {
@@ -1215,6 +1216,44 @@
   EXPECT_EQ(b.sends_of(106), 2u) << "the refused one does not wait as after a refusal";
 }
 
+// Calls that go out while every tenth is refused, each on a connection that had stood idle for so long
+// before. It stays open behind the answer, or closes as the call asked.
+std::size_t calls_while_some_are_refused(Time idle, bool close_requested = false) {
+  Settings s = settings();
+  s.slots = 16;
+  s.max_held = 1000;
+  Bench b(s, {{1, 7, 0, 0, 1000, Condition::ready}});
+  warm_up(b, 1, 6, 7);
+  for (MessageId id = 100; id < 600; ++id) b.message(id);
+  for (std::size_t next = b.sent.size() - 1, end = next + 300; next < std::min(end, b.sent.size()); ++next) {
+    const MessageId id = b.sent[next].first.id;
+    const Outcome outcome = next % 10 == 0 ? Outcome::full : Outcome::delivered;
+    const auto attempt = static_cast<std::uint32_t>(
+        std::count_if(b.sent.begin(), b.sent.begin() + static_cast<std::ptrdiff_t>(next),
+                      [id](const auto& sent) { return sent.first.id == id; }));
+    AttemptEnded ended{id,      attempt, 1,  outcome, outcome == Outcome::delivered,
+                       Time(0), false,   {}, false,   idle};
+    ended.connection_closed = ended.close_requested = close_requested;
+    b.give(ended);
+    b.advance(milliseconds(5));
+  }
+  return b.sent.size();
+}
+
+// A refused call whose connection stays is one of the limit on calls, whether the connection is new or kept.
+TEST(ConnectionLimit, HasNoPartInARefusalWhoseConnectionStays) {
+  const std::size_t on_kept_ones = calls_while_some_are_refused(milliseconds(1));
+  EXPECT_GT(on_kept_ones, 200u);
+  EXPECT_EQ(calls_while_some_are_refused(Time(0)), on_kept_ones);
+}
+
+// To a host that does not say that it closes, each call goes on a connection of its own and asks for the
+// close.
+TEST(ConnectionLimit, HasNoPartInARefusalWhoseCloseWasAskedFor) {
+  const std::size_t on_kept_ones = calls_while_some_are_refused(milliseconds(1));
+  EXPECT_EQ(calls_while_some_are_refused(Time(0), true), on_kept_ones);
+}
+
 // One of many, each with a few calls: where a connection found no place, others' idle ones hold them. Its own
 // makes way after each call from then on, at all endpoints of that kind; neither pace, window nor health bear
 // it.
@@ -1273,7 +1312,8 @@
   EXPECT_EQ(b.sent.size(), burst + 1);
 }
 
-// Calls that are never answered hold the few connections that an endpoint takes, while slots are free.
+// Calls that are never answered hold the few connections that an endpoint takes, while slots are free. One
+// that it closes at once tells so.
 TEST(ConnectionLimit, OverdueCallsMakeWayWhileMessagesWait) {
   Settings s = settings();
   s.slots = 100;
@@ -1281,7 +1321,7 @@
   warm_up(b, 1, 6, 7);
   for (MessageId id = 100; id < 130; ++id) b.message(id);
   ASSERT_EQ(b.sends_of(106), 1u);
-  b.give(AttemptEnded{106, 0, 1, Outcome::full, false, Time(0), false, {}, false, Time(0)});
+  b.give(AttemptEnded{106, 0, 1, Outcome::full, false, Time(0), false, {}, false, Time(0), true});
   b.advance(seconds(5));
   EXPECT_FALSE(b.cancelled.empty());
 }
--- a/tests/stray_answers_test.cpp
+++ b/tests/stray_answers_test.cpp
@@ -3,6 +3,7 @@
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 
+#include "answer_pairing.hpp"
 #include "client.hpp"
 #include "relay_fixture.hpp"
 #include "scripted_server.hpp"
@@ -26,9 +27,21 @@
       : host([this, first, second](const Request& r) { return script(r, first, second); }),
         platform({{"s-1", host.address()}}),
         relay(platform.address()) {
+    relay.replace_settings("(record (kib 256))");
     relay.start();
   }
+  // What the flight record tells of a message.
+  std::string why(const std::string& id) const {
+    const std::string command =
+        std::string(FENNELLANE_PROGRAM) + " why --state " + relay.state_folder() + " " + id + " 2>&1";
+    FILE* const pipe = ::popen(command.c_str(), "r");
+    char text[4096] = {};
+    const std::size_t size = std::fread(text, 1, sizeof text, pipe);
+    ::pclose(pipe);
+    return {text, size};
+  }
   void hand_in_both() {
+    // From which the relay learns that the host says `Connection: close`.
     ASSERT_EQ(relay.ask(request_text("before", "x", "note")), 202u);
     ASSERT_TRUE(happens([this] { return relay.counter("delivered") == 1; }));
     ASSERT_EQ(relay.ask(request_text("first", "x", "note")), 202u);
@@ -59,6 +72,10 @@
   std::this_thread::sleep_for(milliseconds(800));  // in which a wrong retry would go out
   EXPECT_EQ(scene.host.count("second"), 1u);
   EXPECT_FALSE(scene.platform.noticed("second"));
+  const std::string told = scene.why("second");
+  EXPECT_NE(told.find("call 2 of connection"), std::string::npos) << told;
+  EXPECT_NE(told.find("an answer 503 that belongs to no call, while the call was out"), std::string::npos)
+      << told;
 }
 
 TEST(StrayAnswer, ACopyOfADeliveryEndsNoOtherMessage) {
@@ -69,6 +86,51 @@
       << scene.relay.log();
 }
 
+// Two answers that contradict one another come in one piece: either may be the call's.
+TEST(StrayAnswer, AContraryOneInTheSamePieceLeavesTheCallInDoubt) {
+  Server host([](const Request& r) {
+    return r.id == "run" ? kTurnedAway + kDelivered : r.id == "lost" ? kDelivered + kTurnedAway : kDelivered;
+  });
+  Platform platform({{"s-1", host.address(), 7}, {"s-2", host.address(), 8}});
+  Program relay(platform.address());
+  relay.start();
+  ASSERT_EQ(relay.ask(request_text("before", "x", "note")), 202u);
+  ASSERT_TRUE(happens([&] { return relay.counter("delivered") == 1; }));
+  ASSERT_EQ(relay.ask(request_text("lost", "x", "pay", 8)), 202u);
+  ASSERT_EQ(relay.ask(request_text("run", "x", "pay")), 202u);
+  for (const std::string id : {"run", "lost"}) {
+    EXPECT_TRUE(happens([&] {
+      return platform.noticed("{\"id\":\"" + id + "\",\"status\":\"undeliverable\"}");
+    })) << id
+        << relay.log();
+    EXPECT_EQ(host.count(id), 1u);
+  }
+}
+
+// A connection on which an answer comes before its call is written was never asked anything. The library
+// keeps the relay from looking at it at once, so that the answer is there when it does.
+TEST(StrayAnswer, AnAnswerBeforeItsCallIsNone) {
+  std::atomic<int> greeted = 0;
+  ScriptedServer host(
+      [](const Request&) {
+        return ScriptedAnswer{kTurnedAway, kAnswerAt, {}};
+      },
+      [&] { return ++greeted == 1 ? kDelivered : std::string(); });
+  Platform platform({{"s-1", host.address()}});
+  Program relay(platform.address());
+  relay.set_variable("LD_PRELOAD", FENNELLANE_FAULT_SHIM);
+  relay.set_variable("ASAN_OPTIONS", "verify_asan_link_order=0");
+  relay.set_variable("FENNELLANE_FAULTS", "call=peek errno=ENOMEM count=20");
+  const std::string fault_switch = relay.folder() + "/faults";
+  relay.set_variable("FENNELLANE_FAULT_SWITCH", fault_switch);
+  relay.start();
+  std::ofstream(fault_switch) << "on";
+  ASSERT_EQ(relay.ask(request_text("m1", "x", "pay")), 202u);
+  EXPECT_TRUE(happens([&] { return host.count("m1") >= 2 || platform.noticed("m1"); }, seconds(10)))
+      << relay.log();
+  EXPECT_EQ(relay.counter("delivered"), 0u);
+}
+
 // The platform takes a batch of notices and says so twice; the next batch fails at first.
 TEST(StrayAnswer, ACopyOfThePlatformsAnswerTakesNoOtherNotice) {
   ScriptedServer host([](const Request&) {
@@ -92,6 +154,28 @@
   ASSERT_EQ(relay.ask(request_text("second", "x", "pay", 8)), 202u);
   EXPECT_TRUE(happens([&] { return tries == 2; }, seconds(10))) << relay.log();
   EXPECT_TRUE(happens([&] { return relay.counter("notices_taken") == 2; })) << relay.log();
+  EXPECT_EQ(relay.counter("strays.agents"), 1u);
+  EXPECT_EQ(relay.logged("agent: " + platform.address() + ": bytes that answer no call"), 1u) << relay.log();
+}
+
+// The platform refuses a batch, and a path writes that it was taken, in the same piece and in front of it.
+TEST(StrayAnswer, AContraryOneInOnePieceWithThePlatformsTakesNoNotice) {
+  ScriptedServer host([](const Request&) {
+    return ScriptedAnswer{answer("500 Error"), milliseconds(0), {}};
+  });
+  const std::string list = list_json({{"s-1", host.address()}});
+  const std::string good = answer("204 No Content"), bad = answer("500 Error");
+  std::atomic<int> tries = 0;
+  ScriptedServer platform([&](const Request& r) {
+    if (r.target == "/discovery/hosts") return ScriptedAnswer{answer("200 OK", list), milliseconds(0), {}};
+    if (r.target != "/v1/notices") return ScriptedAnswer{};
+    return ScriptedAnswer{tries++ == 0 ? good + bad : good, milliseconds(0), {}};
+  });
+  Program relay(platform.address());
+  relay.start();
+  ASSERT_EQ(relay.ask(request_text("m1", "x", "pay")), 202u);
+  EXPECT_TRUE(happens([&] { return tries == 2; }, seconds(10))) << relay.log();
+  EXPECT_TRUE(happens([&] { return relay.counter("notices_taken") == 1; })) << relay.log();
 }
 
 // A line of the watch that comes once more must not bring back a host that drains.
@@ -142,5 +226,98 @@
   EXPECT_EQ(answers, (std::vector<std::string>{"true", "false"}));
 }
 
+// --- The state machine alone
+// All that a path can bring in some steps, each step one of: a call, its answer, a copy of any answer that
+// was written on the connection. Nothing but a call's own answer may end it. The path is one of many
+// connections' paths, so every order of steps is played.
+template <class Pairing>
+struct PairingWorld {
+  Pairing pairing;
+  std::vector<bool> says_close;  // of each call that was written, by number
+  std::size_t answered = 0;      // of these, by the server
+  bool out = false;
+};
+
+template <class Pairing>
+void play(const PairingWorld<Pairing>& world, int steps, std::size_t& ended, std::size_t& wrong) {
+  if (steps == 0) return;
+  const auto heard = [&](std::size_t call) {
+    PairingWorld<Pairing> next = world;
+    next.answered = std::max(next.answered, call + 1);
+    if (!next.out) {
+      next.pairing.spend();
+    } else if (next.pairing.is_own(next.says_close[call])) {
+      next.out = false;
+      ++ended;
+      wrong += call + 1 == next.says_close.size() ? 0 : 1;
+    }
+    play(next, steps - 1, ended, wrong);
+  };
+  if (!world.out && world.pairing.may_call()) {
+    for (const bool asks : {false, true}) {
+      if (!asks && world.pairing.must_ask_close()) continue;
+      PairingWorld<Pairing> next = world;
+      next.pairing.begin_call(asks);
+      next.says_close.push_back(asks);
+      next.out = true;
+      play(next, steps - 1, ended, wrong);
+    }
+  }
+  // The server answers in order; what it has answered may come again.
+  for (std::size_t call = 0; call < std::min(world.answered + 1, world.says_close.size()); ++call)
+    heard(call);
+}
+
+// As the relay once was.
+struct TakesEachAnswer {
+  bool may_call() const { return !out_; }
+  bool must_ask_close() const { return false; }
+  void begin_call(bool) { out_ = true; }
+  bool is_own(bool) { return std::exchange(out_, false); }
+  void spend() { out_ = true; }
+
+ private:
+  bool out_ = false;
+};
+
+TEST(AnswerPairing, EndsNoCallByAnotherCallsAnswerWhateverComesAgain) {
+  constexpr int kSteps = 12;
+  std::size_t ended = 0, wrong = 0;
+  play(PairingWorld<AnswerPairing>{}, kSteps, ended, wrong);
+  EXPECT_GT(ended, 0u);
+  EXPECT_EQ(wrong, 0u);
+  play(PairingWorld<TakesEachAnswer>{}, kSteps, ended, wrong);
+  EXPECT_GT(wrong, 0u) << "the check finds nothing";
+}
+
+TEST(AnswerPairing, CarriesTwoCallsAtMostAndTheSecondOnlyWithAClose) {
+  AnswerPairing pairing;
+  EXPECT_FALSE(pairing.must_ask_close());
+  pairing.begin_call(false);
+  EXPECT_FALSE(pairing.may_call());
+  EXPECT_TRUE(pairing.is_own(false));
+  ASSERT_TRUE(pairing.may_call() && pairing.must_ask_close());
+  EXPECT_THROW(AnswerPairing(pairing).begin_call(false), std::logic_error);
+  pairing.begin_call(true);
+  EXPECT_FALSE(pairing.next_is_own());
+  EXPECT_FALSE(pairing.is_own(false));
+  EXPECT_TRUE(pairing.is_own(true));
+  EXPECT_FALSE(pairing.may_call());
+}
+
+TEST(AnswerHead, JoinedFromTwoAnswersIsRefused) {
+  const std::string whole =
+      "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+  for (const char* half : {"HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nX-Load-Report: x0=0.", "HTTP/1.1 200 "}) {
+    HttpReader reader(HttpReader::Kind::response, 65536, 65536);
+    reader.feed(half + whole);
+    EXPECT_TRUE(reader.failed()) << half;
+    EXPECT_FALSE(reader.says_close()) << half;
+  }
+  HttpReader reader(HttpReader::Kind::response, 65536, 65536);
+  reader.feed("HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_TRUE(reader.done());
+}
+
 }  // namespace
 }  // namespace fennellane::test
