Calls to platform, discovery and Consul have a connection each

A connection carries one call now. Where an answer follows in one piece that is no copy of the first, byte by byte, the call fails. Strays are counted and logged, at most one line a second.

--- a/src/consul/agent_call.hpp
+++ b/src/consul/agent_call.hpp
@@ -40,6 +40,8 @@
 
   asio::awaitable<AgentAnswer> ask(std::string method, std::string target, std::string body, Time limit);
   void close() { client_.close(); }
+  // As Client::report_strays.
+  void report_strays(std::uint64_t& counter, Log& log) { client_.report_strays(counter, log); }
 
  private:
   const ConsulSettings& settings_;
--- a/src/consul/consul_watch.cpp
+++ b/src/consul/consul_watch.cpp
@@ -29,7 +29,9 @@
       reader_(settings, service, names, {limits.consul_answer, limits.consul_host, limits.consul_hosts}),
       plan_(settings, seed, limits.backoff_least, limits.backoff_most),
       client_(io, settings.agent, limits, limits.consul_answer),
-      pause_(io) {}
+      pause_(io) {
+  client_.report_strays(counters.agent_strays, log);
+}
 
 void ConsulWatch::stop() {
   stopped_ = true;
@@ -99,7 +101,6 @@
       co_return fail("the answer ends early, or takes too long");
     }
   }
-  if (!client_.answer().keep_alive()) client_.close();
   co_return true;
 }
 
--- a/src/consul/drain_agent.cpp
+++ b/src/consul/drain_agent.cpp
@@ -14,7 +14,9 @@
       counters_(counters),
       log_(log),
       calls_(io, consul, limits, limits.fleet_answer, limits.fleet_value),
-      due_(io) {}
+      due_(io) {
+  calls_.report_strays(counters.agent_strays, log);
+}
 
 void DrainAgent::carry(const drain::Effect& effect) {
   std::visit([this](const auto& e) { on(e); }, effect);
@@ -65,7 +67,7 @@
     return true;
   };
   watch_ =
-      std::make_shared<KeyWatch>(io_, consul_, limits_, counters_, budget_prefix(settings_),
+      std::make_shared<KeyWatch>(io_, consul_, limits_, counters_, log_, budget_prefix(settings_),
                                  KeyWatch::What::below, settings_.drain->slot.call, settings_.wait, take);
   watch_->start();
 }
--- a/src/consul/ejection_agent.cpp
+++ b/src/consul/ejection_agent.cpp
@@ -122,7 +122,10 @@
       reports_(io, consul, limits, limits.body, limits.fleet_value),
       steps_(io, consul, limits, limits.fleet_answer, limits.fleet_value * 2),
       look_due_(io),
-      read_due_(io) {}
+      read_due_(io) {
+  reports_.report_strays(counters.agent_strays, log);
+  steps_.report_strays(counters.agent_strays, log);
+}
 
 void EjectionAgent::start() {
   const auto take = [this](const AgentAnswer& answer, bool afresh) {
@@ -134,8 +137,8 @@
     tell_later(fleet::ReporterHeard{std::move(seen)});
     return true;
   };
-  std::make_shared<KeyWatch>(io_, consul_, limits_, counters_, verdict_key(settings_), KeyWatch::What::value,
-                             settings_.timing.call, settings_.wait, take)
+  std::make_shared<KeyWatch>(io_, consul_, limits_, counters_, log_, verdict_key(settings_),
+                             KeyWatch::What::value, settings_.timing.call, settings_.wait, take)
       ->start();
   tell_later(fleet::ReporterHeard{ejection::LookDue{}});
 }
--- a/src/consul/fleet_agent.cpp
+++ b/src/consul/fleet_agent.cpp
@@ -102,6 +102,8 @@
       refresh_due_(io) {
   for (const std::string& role : settings_.roles)
     roles_.push_back(std::make_unique<Role>(io, consul_, limits, role, role_key(settings_, role)));
+  for (const auto& role : roles_) role->calls.report_strays(counters.agent_strays, log);
+  for (AgentCall* call : {&work_, &shares_, &lists_}) call->report_strays(counters.agent_strays, log);
   if (settings_.drain)
     drain_ = std::make_shared<DrainAgent>(io, consul_, settings_, limits, counters, log, tell_);
   if (settings_.release)
@@ -225,7 +227,7 @@
     hear(role, std::move(seen));
     return true;
   };
-  std::make_shared<KeyWatch>(io_, consul_, limits_, counters_, roles_[role]->key, KeyWatch::What::key,
+  std::make_shared<KeyWatch>(io_, consul_, limits_, counters_, log_, roles_[role]->key, KeyWatch::What::key,
                              settings_.timing.call, settings_.wait, take)
       ->start();
 }
@@ -243,7 +245,7 @@
     tell_later(fleet::RefreshHeard{std::move(seen)});
     return true;
   };
-  std::make_shared<KeyWatch>(io_, consul_, limits_, counters_, beat_key(), KeyWatch::What::value,
+  std::make_shared<KeyWatch>(io_, consul_, limits_, counters_, log_, beat_key(), KeyWatch::What::value,
                              settings_.timing.call, settings_.wait, take)
       ->start();
 }
--- a/src/consul/key_watch.cpp
+++ b/src/consul/key_watch.cpp
@@ -9,7 +9,7 @@
 namespace fennellane {
 
 KeyWatch::KeyWatch(asio::io_context& io, const ConsulSettings& consul, const Limits& limits,
-                   Counters& counters, std::string key, What what, Time call, Time wait, Take take)
+                   Counters& counters, Log& log, std::string key, What what, Time call, Time wait, Take take)
     : io_(io),
       limits_(limits),
       counters_(counters),
@@ -19,7 +19,9 @@
       wait_(wait),
       take_(std::move(take)),
       reads_(io, consul, limits, what == What::below ? limits.fleet_answer : limits.fleet_value),
-      pause_(io) {}
+      pause_(io) {
+  reads_.report_strays(counters.agent_strays, log);
+}
 
 void KeyWatch::start() {
   asio::co_spawn(
--- a/src/consul/key_watch.hpp
+++ b/src/consul/key_watch.hpp
@@ -21,7 +21,7 @@
   using Take = std::function<bool(const AgentAnswer&, bool afresh)>;
   // A read waits for a change for `wait` at most, and every other call for `call`.
   KeyWatch(asio::io_context& io, const ConsulSettings& consul, const Limits& limits, Counters& counters,
-           std::string key, What what, Time call, Time wait, Take take);
+           Log& log, std::string key, What what, Time call, Time wait, Take take);
 
   void start();
   void stop();  // no answer is taken after it
--- a/src/consul/registration.cpp
+++ b/src/consul/registration.cpp
@@ -34,7 +34,9 @@
       counters_(counters),
       log_(log),
       client_(io, settings_.agent, limits, limits.body),
-      pause_(io) {}
+      pause_(io) {
+  client_.report_strays(counters.agent_strays, log);
+}
 
 void Registration::start() {
   asio::co_spawn(
--- a/src/consul/release_agent.cpp
+++ b/src/consul/release_agent.cpp
@@ -29,7 +29,10 @@
       reports_(io, consul, limits, limits.body),
       steps_(io, consul, limits, limits.fleet_answer, limits.fleet_value * 2),
       report_due_(io),
-      look_due_(io) {}
+      look_due_(io) {
+  reports_.report_strays(counters.agent_strays, log);
+  steps_.report_strays(counters.agent_strays, log);
+}
 
 void ReleaseAgent::start() {
   const auto take = [this](const AgentAnswer& answer, bool) {
@@ -45,8 +48,8 @@
     tell_later(fleet::ReleaseSeen{std::move(seen)});
     return true;
   };
-  std::make_shared<KeyWatch>(io_, consul_, limits_, counters_, release_key(settings_), KeyWatch::What::key,
-                             settings_.timing.call, settings_.wait, take)
+  std::make_shared<KeyWatch>(io_, consul_, limits_, counters_, log_, release_key(settings_),
+                             KeyWatch::What::key, settings_.timing.call, settings_.wait, take)
       ->start();
 }
 
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -1,5 +1,6 @@
-// One HTTP connection to discovery's agent, for coroutines: every step has a time limit, after which the
-// connection is closed and the step fails.
+// HTTP calls to discovery's agent or Consul's, for coroutines, each on a connection of its own, so that no
+// answer can be another call's. Every step has a time limit, after which the connection is closed and the
+// step fails.
 //
 // GCC 12 traps at run time on a co_await inside a condition within a loop. So what is awaited here, and by
 // those who use this, is named first and looked at then.
@@ -9,11 +10,15 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <cstdint>
 #include <exception>
+#include <optional>
 #include <string>
 
+#include "answer_pairing.hpp"
 #include "config.hpp"
 #include "http.hpp"
+#include "limited_log.hpp"
 #include "ring_buffer.hpp"
 
 namespace fennellane {
@@ -30,9 +35,14 @@
   Client(asio::io_context& io, const Address& address, const Limits& limits, std::size_t most_body,
          std::size_t most_text = 0);
 
+  // Bytes that answer no call are counted there and logged, at most once in a while. Both must outlive it.
+  void report_strays(std::uint64_t& counter, Log& log);
+
   asio::awaitable<bool> connect(Time limit);
+  // Once on each connection.
   asio::awaitable<bool> send(std::string text, Time limit);
-  // Reads on; false when the connection has ended or the answer cannot be read.
+  // Reads on; false when the connection has ended, or the answer cannot be read or may be none of this call.
+  // The connection is closed behind the answer.
   asio::awaitable<bool> read(Time limit);
   // Reads one whole answer, to its end within the limit.
   asio::awaitable<bool> read_answer(Time limit);
@@ -48,6 +58,14 @@
 
  private:
   void arm(Time limit);
+  asio::awaitable<bool> may_send(Time limit);
+  void note_stray();
+  bool pass_over_interim();
+  std::size_t feed();
+  // Whether another answer stands in the one that was read, or right behind it, and is no copy of it: either
+  // may be the call's.
+  bool is_contradicted() const;
+  void finish();
 
   asio::ip::tcp::socket socket_;
   asio::steady_timer timer_;
@@ -55,6 +73,14 @@
   RingBuffer in_;
   RingBuffer out_;
   HttpReader answer_;
+  AnswerPairing pairing_;
+  const unsigned most_interim_;
+  const Time local_retry_;
+  unsigned interim_ = 0;       // answers before the call's own
+  std::string answer_begins_;  // its first bytes as they came
+  const Time stray_gap_;
+  std::uint64_t* strays_ = nullptr;
+  std::optional<LimitedLog> stray_log_;
 };
 
 }  // namespace fennellane
