A notice that the platform refuses goes again before it is overdue

Ends reached a platform that refused batches up to 3.8 s late, where 0.3 s are allowed: pauses between tries grew to 1.5 s. Test: Crossings.ARefusedNoticeGoesOnceMoreBeforeItIsOverdue. Notices::run is in functions.

--- a/src/core/limits.hpp
+++ b/src/core/limits.hpp
@@ -74,6 +74,10 @@
   // that is slow is given up to the most.
   Time notice_answer_least = std::chrono::milliseconds(100);
   Time notice_answer_most = std::chrono::seconds(2);
+  // Between tries to tell the platform, whose agent stands on the same machine: an end is overdue 300 ms
+  // behind its message's time.
+  Time notice_retry_least = std::chrono::milliseconds(20);
+  Time notice_retry_most = std::chrono::milliseconds(100);
   Time agent_write = std::chrono::seconds(2);   // Consul's agent's answer to a write
   Time agent_answer = std::chrono::seconds(3);  // and to a question
   // A change counts as told 6 s after discovery had it and could be reached, whatever call failed before. So
--- a/src/platform/notices.hpp
+++ b/src/platform/notices.hpp
@@ -35,7 +35,12 @@
     }
   };
   asio::awaitable<void> run();
+  std::size_t batch() const;                             // how many lines go next
   asio::awaitable<unsigned> deliver(std::size_t count);  // the answer's status, or 0
+  // Whether these lines are owed no more.
+  bool is_settled(unsigned status, std::size_t count);
+  void forget(std::size_t count);
+  asio::awaitable<void> rest(unsigned status);  // after a try that failed
 
   asio::io_context& io_;
   const Config& config_;
@@ -49,7 +54,8 @@
   RetryPause retry_;
   Time answer_limit_;  // for each step of a try: longer after one that failed, as long as the platform needs
   std::deque<Line> lines_;
-  bool redirected_ = false;  // since the newest try began
+  std::size_t most_lines_ = SIZE_MAX;  // in one batch
+  bool redirected_ = false;            // since the newest try began
 };
 
 std::string notice_line(const PostNotice& notice);
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -88,6 +88,36 @@
   EXPECT_TRUE(happens([&] { return relay.counter("notices_taken") == 1; })) << relay.log();
 }
 
+// A platform that refuses for a while, or whose refusals hit one batch after another: it is asked again
+// before what it is to be told is overdue, however often it has refused.
+TEST(Crossings, ARefusedNoticeGoesOnceMoreBeforeItIsOverdue) {
+  using Clock = std::chrono::steady_clock;
+  constexpr milliseconds kOverdue{300};  // behind the message's time, by the protocol
+  constexpr std::size_t kTries = 9;
+  std::mutex mutex;
+  std::vector<Clock::time_point> tries;
+  Server refusing([&](const Request& r) {
+    if (r.target != "/v1/notices") return std::string();
+    const std::scoped_lock lock(mutex);
+    tries.push_back(Clock::now());
+    return answer("500 Internal Server Error");
+  });
+  ConfigParts parts;
+  parts.known = {{"s-1", refusing_address(), 7}};
+  Program relay(refusing.address(), parts);
+  relay.start();
+  ASSERT_EQ(relay.ask(with(request_to(7, "a1"), "X-Budget-Ms: 20000", "X-Budget-Ms: 300")), 202u);
+  ASSERT_TRUE(happens([&] {
+    const std::scoped_lock lock(mutex);
+    return tries.size() >= kTries;
+  })) << relay.log();
+  std::vector<Clock::duration> gaps;
+  for (std::size_t i = 1; i < kTries; ++i) gaps.push_back(tries[i] - tries[i - 1]);
+  // The later half, when pauses have grown; its median, so that one late turn of the machine is no failure.
+  std::sort(gaps.begin() + kTries / 2, gaps.end());
+  EXPECT_LT(gaps[kTries * 3 / 4], kOverdue);
+}
+
 // A platform that is slow with its answers, not silent, is waited for in the end.
 TEST(Crossings, ASlowPlatformIsWaitedForInTheEnd) {
   Server slow([&](const Request& r) {
