A repeated older line of the watch undoes no newer one

A line that a path repeats brought back a host that drains. Within one watch versions may not go back; the first line of a watch may, with a whole list, as from a discovery that has begun anew.

--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -56,7 +56,9 @@
       address_(address),
       client_(io, address_, config.limits, config.limits.discovery_line),
       pause_(io),
-      retry_(config.limits.discovery_backoff_least, config.limits.discovery_backoff_most, config.seed) {}
+      retry_(config.limits.discovery_backoff_least, config.limits.discovery_backoff_most, config.seed) {
+  client_.report_strays(counters.agent_strays, log);
+}
 
 void Discovery::start() {
   asio::co_spawn(
@@ -109,6 +111,13 @@
   try {
     HostList list = parse_hosts(json, config_.boot);
     if (!list.whole && !have_list_) throw ConfigError("changes came before a whole list");
+    // Guards against a line that comes once more undoing those behind it. Only the first one of a watch may
+    // go back, with a whole list, as from a discovery that has begun anew.
+    if (list.version < version_ && have_list_ && (lines_ > 0 || !list.whole)) {
+      throw ConfigError("version " + std::to_string(list.version) + " came behind version " +
+                        std::to_string(version_));
+    }
+    ++lines_;
     version_ = list.version;
     have_list_ = true;
     ++counters_.lists;
@@ -127,6 +136,7 @@
   const bool answered = co_await client_.read_answer(limits.discovery_answer, limits.discovery_list);
   if (!answered) co_return false;
   if (client_.answer().status() != 200) co_return false;
+  lines_ = 0;
   co_return take(client_.answer().take_body());
 }
 
@@ -137,6 +147,7 @@
   if (!sent) co_return false;
   std::string text;
   object_.clear();
+  lines_ = 0;
   bool any = false;
   while (!client_.answer().done()) {
     // The beginning of the answer comes at once, or the connection is of no use.
--- a/src/platform/discovery.hpp
+++ b/src/platform/discovery.hpp
@@ -73,6 +73,7 @@
   RetryPause retry_;
   JsonObjectText object_;  // of a watch, the lines of one that is not whole yet
   std::uint64_t version_ = 0;
+  std::size_t lines_ = 0;  // of the present watch that were taken
   bool have_list_ = false;
   bool stopped_ = false;
   bool redirected_ = false;  // since the newest connection began
