Fault laboratory: one to three relays a run, with copies of answers

A run has one to three relays that share partners and platform; partners and platform write some answers once more, late or at once, the same or the opposite; clients keep their connections until the end; idle crowds. Ends later than the protocol allows are reported.

--- a/tests/fault_lab_test.cpp
+++ b/tests/fault_lab_test.cpp
@@ -21,7 +21,7 @@
 // class's messages go out a second time.
 TEST(FaultLab, FindsWhatRunsTwiceAndWhatHasNoEnd) {
   FaultPlan plan;
-  plan.end = FaultPlan::End::kill;
+  plan.relays[0].end = LifeEnd::kill;
   plan.plants_flaws = true;
   const FaultReport report = run_faults(FENNELLANE_PROGRAM, FENNELLANE_FAULT_SHIM, plan);
   const auto found = [&](const std::string& what) {
--- a/tools/faults/fault_shim.cpp
+++ b/tools/faults/fault_shim.cpp
@@ -1,7 +1,7 @@
 // A library that is preloaded into a relay by tests and tools, never in service, and makes system calls fail.
 //
 // FENNELLANE_FAULTS holds rules, separated by ';'. A rule is words of the form name=value:
-//   call    the function, e.g. write; needed
+//   call    the function, e.g. write; needed. peek: a recv that leaves what it reads
 //   errno   what it fails with, by name, e.g. EIO; needed unless `short` stands alone
 //   short   so many bytes at most are written or read by each first call of two; with an errno the second
 //   fails path    only for descriptors and names whose path contains this skip    matching calls that pass
@@ -246,6 +246,7 @@
                                  : static_cast<int>(syscall(SYS_setsockopt, fd, level, name, value, size));
 }
 ssize_t recv(int fd, void* to, std::size_t size, int flags) {
+  if ((flags & MSG_PEEK) != 0 && fails("peek", fd)) return -1;
   const auto most = allowed("recv", fd, size);
   return most ? syscall(SYS_recvfrom, fd, to, *most, flags, nullptr, nullptr) : -1;
 }
--- a/tools/harness/release_lab.cpp
+++ b/tools/harness/release_lab.cpp
@@ -1,5 +1,6 @@
 #include "release_lab.hpp"
 
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -11,12 +12,9 @@
 namespace fs = std::filesystem;
 
 Builds::Builds(const std::string& program) {
-  std::string name = (fs::temp_directory_path() / "builds-XXXXXX").string();
-  if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder for builds");
-  folder_ = name;
   const std::string whole = fs::absolute(program).string();
-  fs::create_symlink(whole, folder_ / "a");
-  fs::create_symlink(whole, folder_ / "b");
+  fs::create_symlink(whole, path("a"));
+  fs::create_symlink(whole, path("b"));
   // Port 1 refuses.
   script("sick",
          "sed 's/(id \"p\") (address \"[^\"]*\")/(id \"p\") (address \"127.0.0.1:1\")/' \"$GW_SETTINGS\" "
@@ -25,14 +23,9 @@
   script("broken", "exit 3\n");
 }
 
-Builds::~Builds() {
-  std::error_code ignored;
-  fs::remove_all(folder_, ignored);
-}
-
 void Builds::script(const char* name, const std::string& text) const {
-  std::ofstream(folder_ / name) << "#!/bin/bash\n" << text;
-  fs::permissions(folder_ / name, fs::perms::owner_all);
+  std::ofstream(path(name)) << "#!/bin/bash\n" << text;
+  fs::permissions(path(name), fs::perms::owner_all);
 }
 
 namespace {
--- a/tools/harness/release_lab.hpp
+++ b/tools/harness/release_lab.hpp
@@ -2,12 +2,12 @@
 // meanwhile.
 #pragma once
 
-#include <filesystem>
 #include <memory>
 #include <string>
 
 #include "fleet_lab.hpp"
 #include "release_command.hpp"
+#include "temporary_folder.hpp"
 
 namespace fennellane::harness {
 
@@ -16,16 +16,13 @@
 class Builds {
  public:
   explicit Builds(const std::string& program);
-  ~Builds();
-  Builds(const Builds&) = delete;
-  Builds& operator=(const Builds&) = delete;
 
-  std::string path(const std::string& build) const { return (folder_ / build).string(); }
-  std::string folder() const { return folder_.string(); }
+  std::string path(const std::string& build) const { return folder() + "/" + build; }
+  const std::string& folder() const { return folder_.path(); }
 
  private:
   void script(const char* name, const std::string& text) const;
-  std::filesystem::path folder_;
+  const standin::TemporaryFolder folder_{"builds"};
 };
 
 struct ReleaseTiming {
--- a/tools/rehearse_faults.cpp
+++ b/tools/rehearse_faults.cpp
@@ -1,5 +1,5 @@
-// Plays runs of the fault laboratory: from seeds, or one for each system call and errno that it may fail
-// with.
+// Plays runs of the fault laboratory: from seeds, with one to three relays, or one for each system call and
+// errno that it may fail with.
 #include <CLI/CLI.hpp>
 #include <atomic>
 #include <cstdio>
@@ -14,6 +14,7 @@
 
 using fennellane::harness::FaultPlan;
 using fennellane::harness::FaultReport;
+using fennellane::harness::RelayPlan;
 
 struct CallErrors {
   const char* call;
@@ -48,6 +49,7 @@
     {"shutdown", "", {"ENOBUFS", "ENOTCONN"}},
     {"getsockopt", "", {"ENOBUFS"}},
     {"setsockopt", "", {"ENOBUFS", "ENOMEM"}},
+    {"peek", "", {"EINTR", "EAGAIN", "ENOMEM", "ECONNRESET"}},
     {"recv", "", {"EINTR", "EAGAIN", "ENOMEM", "ECONNRESET", "ETIMEDOUT", "EHOSTUNREACH"}},
     {"send",
      "",
@@ -73,11 +75,13 @@
       std::string rule = std::string("call=") + c.call + " errno=" + error;
       if (*c.path != 0) rule += std::string(" path=") + c.path;
       for (const char* const when : {" count=1", " count=1 skip=3", " count=1 skip=19", ""}) {
+        RelayPlan relay;
+        relay.rules = rule + when;
+        relay.at_start = true;
+        relay.span = std::chrono::milliseconds(1000);
         FaultPlan plan;
-        plan.rules = rule + when;
-        plan.at_start = true;
-        plan.span = std::chrono::milliseconds(1000);
-        runs.push_back({plan.rules, plan});
+        plan.relays = {relay};
+        runs.push_back({relay.rules, plan});
       }
     }
   }
@@ -93,10 +97,21 @@
   return runs;
 }
 
+// What is left out of every plan, to tell which fault a finding needs.
+struct LeftOut {
+  bool copies = false, rules = false;
+};
+
+void leave_out(const LeftOut& left_out, FaultPlan& plan) {
+  if (left_out.copies) plan.partner_copies = plan.platform_copies = {};
+  if (!left_out.rules) return;
+  for (RelayPlan& relay : plan.relays) relay.rules.clear();
+}
+
 // Returns how many runs were not right.
 std::size_t play(const std::vector<Run>& runs, const std::string& program, const std::string& library,
                  std::size_t at_once, bool shows_log) {
-  std::atomic<std::size_t> next = 0, wrong = 0;
+  std::atomic<std::size_t> next = 0, wrong = 0, late = 0;
   std::mutex printing;
   FaultReport sum;
   const auto work = [&] {
@@ -109,9 +124,12 @@
       sum.unanswered += report.unanswered;
       sum.delivered += report.delivered;
       sum.noticed += report.noticed;
+      late += report.late.size();
+      if (report.violations.empty() && report.late.empty()) continue;
+      std::printf("%s\n", runs[i].name.c_str());
+      for (const std::string& end : report.late) std::printf("    late: %s\n", end.c_str());
       if (report.violations.empty()) continue;
       ++wrong;
-      std::printf("%s\n", runs[i].name.c_str());
       for (const std::string& violation : report.violations) std::printf("    %s\n", violation.c_str());
       if (shows_log) std::printf("%s\n", report.log.c_str());
     }
@@ -121,20 +139,21 @@
   for (std::thread& t : threads) t.join();
   std::printf(
       "%zu runs, %zu not right; %zu messages: %zu taken on, %zu refused, %zu without an answer; %zu "
-      "delivered, %zu ended by a notice\n",
+      "delivered, %zu ended by a notice, %zu ended later than the protocol allows\n",
       runs.size(), wrong.load(), sum.handed_in, sum.taken, sum.refused, sum.unanswered, sum.delivered,
-      sum.noticed);
+      sum.noticed, late.load());
   return wrong;
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  CLI::App app{"plays a relay under load while its system calls fail, and checks what came of it"};
+  CLI::App app{"plays relays under load while their system calls fail, and checks what came of it"};
   std::string program, library, only;
   std::uint64_t first = 1, count = 50;
   std::size_t at_once = 4;
   bool each = false, shows_log = false;
+  LeftOut left_out;
   app.add_option("--program", program, "the relay")->required();
   app.add_option("--library", library, "the fault library")->required();
   app.add_flag("--each", each, "each call and errno in turn, in place of seeds");
@@ -143,8 +162,11 @@
   app.add_option("--seeds", count, "how many seeds");
   app.add_option("--at-once", at_once, "runs side by side")->check(CLI::Range(1, 16));
   app.add_flag("--log", shows_log, "show the log of a run that was not right");
+  app.add_flag("--without-copies", left_out.copies, "no answer comes more than once");
+  app.add_flag("--without-rules", left_out.rules, "no system call fails");
   CLI11_PARSE(app, argc, argv);
   std::vector<Run> runs = each ? runs_for_each_error() : runs_of_seeds(first, count);
   std::erase_if(runs, [&](const Run& run) { return run.name.find(only) == std::string::npos; });
+  for (Run& run : runs) leave_out(left_out, run.plan);
   return play(runs, program, library, at_once, shows_log) == 0 ? 0 : 1;
 }
