A relay that is told to end ends while clients send without a pause

A trace of the process 3.47 s after SIGTERM shows it accepting connections and taking on messages: its last step answers all that has come, by running the loop until nothing is ready, and clients that come again at once leave no such moment.

--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -254,6 +254,7 @@
     });
   }
   void read_now(asio::error_code error) {
+    if (owner_.reading_stopped_) return;
     std::size_t n = 0;
     if (!error) {
       const std::span<char> space = in_.space();
@@ -666,6 +667,13 @@
 
 void Downstream::send_away() { sending_away_ = true; }
 
+void Downstream::stop_reading() {
+  reading_stopped_ = true;
+  asio::error_code ignored;
+  acceptor_.close(ignored);
+  pause_.cancel();
+}
+
 void Downstream::close_idle() {
   for (const auto& [number, session] : sessions_) {
     if (session->idle()) session->finish();
--- a/src/http/downstream.hpp
+++ b/src/http/downstream.hpp
@@ -54,8 +54,9 @@
   void set_ready() { ready_ = true; }
   // What GET /up tells as long as the relay is not ready.
   void set_not_ready(std::string_view reason);
-  void send_away();   // answers on, but keeps no connection
-  void close_idle();  // those on which no request is being read
+  void send_away();     // answers on, but keeps no connection
+  void close_idle();    // those on which no request is being read
+  void stop_reading();  // neither requests nor connections are taken; what has been read is answered
   std::size_t connections() const { return sessions_.size(); }
 
  private:
@@ -88,6 +89,7 @@
   std::string not_ready_ = "starting";
   bool said_ = false;  // that a connection cannot be accepted
   bool sending_away_ = false;
+  bool reading_stopped_ = false;
 };
 
 }  // namespace fennellane
--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -22,4 +22,12 @@
   if (!due) throw std::system_error(ENOMEM, std::generic_category(), "the event loop's timers");
 }
 
+bool poll_until_idle(asio::io_context& io, Time most) {
+  const auto end = std::chrono::steady_clock::now() + most;
+  while (std::chrono::steady_clock::now() < end) {
+    if (io.poll_one() == 0) return true;
+  }
+  return false;
+}
+
 }  // namespace fennellane
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -70,13 +70,21 @@
     begin();
   }
   io_.run();
-  // Guards against ending a connection whose request has come and has not been answered.
-  io_.restart();
-  io_.poll();
+  answer_what_has_come();
   print_counters();
   if (upgrade_) upgrade::remove_run_file(state_folder_);
 }
 
+// Guards against ending a connection whose request has come and has not been answered, and the end against
+// clients that send without a pause: in the end nothing more is read.
+void Relay::answer_what_has_come() {
+  const Time most = config_.limits.stop_answers;
+  io_.restart();
+  if (poll_until_idle(io_, most)) return;
+  downstream_.stop_reading();
+  poll_until_idle(io_, most);
+}
+
 // Listens at once, so that clients hear why they are refused while the journal cannot be read.
 void Relay::begin() {
   downstream_.listen();
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -67,6 +67,7 @@
   [[noreturn]] void start_anew() override;
   template <class Archive>
   void remember_parts(Archive& archive);
+  void answer_what_has_come();
   void begin();
   void serve();
   void open_storage();
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -117,6 +117,31 @@
   EXPECT_NE(relay.log().find("counters clients="), std::string::npos);
 }
 
+// Clients that send without a pause, also behind their answer, leave no moment in which nothing is ready.
+TEST_F(RelayToOneHost, EndsAfterSigtermWhileClientsSendWithoutAPause) {
+  constexpr std::size_t kClients = 6, kRequestsAtOnce = 2000;
+  std::string requests;
+  for (std::size_t i = 0; i < kRequestsAtOnce; ++i) requests += "GET /up HTTP/1.1\r\nHost: relay\r\n\r\n";
+  relay.signal(SIGTERM);
+  std::atomic<bool> stop = false;
+  std::vector<std::thread> clients;
+  for (std::size_t i = 0; i < kClients; ++i) {
+    clients.emplace_back([&] {
+      asio::io_context io;
+      while (!stop) {
+        tcp::socket client = relay.connected(io);
+        asio::error_code error;
+        while (!stop && !error) asio::write(client, asio::buffer(requests), error);
+      }
+    });
+  }
+  EXPECT_TRUE(happens([&] { return relay.gone(); }, seconds(15))) << relay.log();
+  const int code = relay.end(SIGKILL);
+  stop = true;
+  for (std::thread& client : clients) client.join();
+  EXPECT_EQ(code, 0);
+}
+
 // Callers have only so many connections for one relay, a third of its descriptors. Guards against those that
 // ask once and stay using them up: the longest idle close early, while one that is used again stays.
 TEST(Relay, ClosesTheLongestIdleBeforeCallersHaveNoConnectionLeft) {
