--- a/src/core/limits.hpp
+++ b/src/core/limits.hpp
@@ -103,7 +103,7 @@
   Time stop_idle = std::chrono::milliseconds(600);
   Time stop_total = std::chrono::milliseconds(3200);
   Time stop_margin = std::chrono::milliseconds(200);
-  Time stop_answers = std::chrono::milliseconds(100);  // for what has come by the end, and once more
+  Time stop_answers = std::chrono::milliseconds(50);  // for what has come by the end, and once more
 };
 
 struct Allowance {  // of the machine, as configured
