Review case 2: a host moved by SIGHUP leaves its destination unserved for good

Calls that are out at a host while the settings move it to another destination are taken off the new route's count, which falls below zero; no call is ever made there again. The case moves one host of three by SIGHUP under light load.

--- a/review/2/main.cpp
+++ b/review/2/main.cpp
@@ -78,11 +78,11 @@
       (late ? after_done : before_done) += delivered.count(id) ? 1 : 0;
       after_noticed += late && notices.count(id) ? 1 : 0;
     }
+    // What hangs: for 28 s on end all that was taken (15 or more) is given up, and no call is made.
     say("destination %d: before the change %d taken, %d delivered; from 2 s after it on %d taken, %d delivered, %d given up",
         destination, before, before_done, after, after_done, after_noticed);
     if (after >= 15 && after_done == 0) result = kBroken;
   }
-  std::ofstream(std::string(folder) + "/x") << "";
   return result;
 }
 
