--- a/review/2/main.cpp
+++ b/review/2/main.cpp
@@ -1,5 +1,5 @@
-// A client's payment arrives in two pieces. Between them a bad client sends a message of its own with the id of that open
-// request. A payment that is answered 202 has to reach its destination, or to end by a notice.
+// A client's payment arrives in two pieces. Between them a bad client sends a message of its own with the id
+// of that open request. A payment that is answered 202 has to reach its destination, or to end by a notice.
 #include "platform_config.hpp"
 #include "rig.hpp"
 
@@ -7,7 +7,8 @@
 
 namespace {
 
-// A client whose request is cut: `first` bytes, a pause, the rest. Returns the status; waits 400 ms from the last byte.
+// A client whose request is cut: `first` bytes, a pause, the rest. Returns the status; waits 400 ms from the
+// last byte.
 int ask_in_two(int port, const std::string& text, std::size_t first, const std::function<void()>& between) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in to = loopback(port);
@@ -63,7 +64,8 @@
   std::map<std::string, std::string> taken;  // by id: the body
   Client bad(relay.port());
   for (int i = 0; i < kPayments; ++i) {
-    const std::string id = "pay-" + std::to_string(i), body = "payment " + std::to_string(i) + " of attiki " + std::string(500, 'x');
+    const std::string id = "pay-" + std::to_string(i),
+                      body = "payment " + std::to_string(i) + " of attiki " + std::string(500, 'x');
     const std::string text = submission(id, "order-payment", 2, 8000, "attiki", body);
     const int status = ask_in_two(relay.port(), text, text.size() - 200, [&] {
       if (!trouble()) return;
@@ -79,7 +81,8 @@
   int lost = 0;
   const std::scoped_lock lock(mutex);
   for (const auto& [id, body] : taken) {
-    const bool run = std::any_of(runs[id].begin(), runs[id].end(), [&body](const Run& r) { return r.host == "bank-2" && r.body == body; });
+    const bool run = std::any_of(runs[id].begin(), runs[id].end(),
+                                 [&body](const Run& r) { return r.host == "bank-2" && r.body == body; });
     if (run || notices.count(id)) continue;
     if (++lost <= 3) say("%s was answered 202, never came to the bank, and has no notice", id.c_str());
   }
--- a/review/common/consul_main.cpp
+++ b/review/common/consul_main.cpp
@@ -1,5 +1,5 @@
-// The project's own stand-in of a Consul agent as a process: says its address on standard output, and ends with its
-// standard input.
+// The project's own stand-in of a Consul agent as a process: says its address on standard output, and ends
+// with its standard input.
 #include <cstdio>
 
 #include "consul_agent.hpp"
--- a/review/common/rig.hpp
+++ b/review/common/rig.hpp
@@ -1,5 +1,5 @@
-// What the cases of this review share: a relay started with the command of the deploy file, and small stand-ins for
-// clients, servers and the platform, on loopback sockets and the real clock. POSIX calls only.
+// What the cases of this review share: a relay started with the command of the deploy file, and small
+// stand-ins for clients, servers and the platform, on loopback sockets and the real clock. POSIX calls only.
 #pragma once
 
 #include <arpa/inet.h>
@@ -32,6 +32,7 @@
 #include <optional>
 #include <set>
 #include <sstream>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -124,7 +125,8 @@
   if (::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0) throw CannotRun("getsockname");
   return ntohs(address.sin_port);
 }
-// Bound, not listening: keeps a port for one that binds it with SO_REUSEADDR, and refuses connections meanwhile.
+// Bound, not listening: keeps a port for one that binds it with SO_REUSEADDR, and refuses connections
+// meanwhile.
 inline int reserve_port(int port = 0) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
@@ -178,8 +180,8 @@
   return message;
 }
 inline std::string answer_text(int status, const std::string& more = "", const std::string& body = "") {
-  return "HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" +
-         more + "\r\n" + body;
+  return "HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n" + more + "\r\n" + body;
 }
 
 // --- A server: a thread for each connection.
@@ -218,7 +220,8 @@
  public:
   // Returns after the answer is written; the connection stays open unless `close_after` is set.
   using Handler = std::function<void(Connection&, const Message&)>;
-  explicit Server(Handler handler, int port = 0) : handler_(std::move(handler)), listener_(reserve_port(port)) {
+  explicit Server(Handler handler, int port = 0)
+      : handler_(std::move(handler)), listener_(reserve_port(port)) {
     if (::listen(listener_, 1024) != 0) throw CannotRun("cannot listen");
     port_ = port_of(listener_);
     threads_.emplace_back([this] { accept_all(); });
@@ -296,7 +299,8 @@
 // --- The platform: discovery with a watch, and notices.
 class Platform {
  public:
-  explicit Platform(std::string list) : list_(std::move(list)), server_([this](Connection& c, const Message& m) { serve(c, m); }) {}
+  explicit Platform(std::string list)
+      : list_(std::move(list)), server_([this](Connection& c, const Message& m) { serve(c, m); }) {}
   std::string address() const { return server_.address(); }
   // A change: the whole list as it is from now on, and what changed, as one line each.
   void change(const std::string& list, const std::string& changed, int version) {
@@ -391,12 +395,13 @@
   double weight = 50;
 };
 inline std::string list_json(const std::vector<Host>& hosts, int version = 1, bool full = true) {
-  std::string text = "{\"version\":" + std::to_string(version) + ",\"full\":" + (full ? "true" : "false") + ",\"servers\":[";
+  std::string text =
+      "{\"version\":" + std::to_string(version) + ",\"full\":" + (full ? "true" : "false") + ",\"servers\":[";
   for (const Host& h : hosts) {
     if (text.back() == '}') text += ",";
-    text += "{\"id\":\"" + h.id + "\",\"addr\":\"" + h.address + "\",\"zone\":\"" + h.zone + "\",\"kind\":\"" + h.kind +
-            "\",\"cell\":" + std::to_string(h.cell) + ",\"state\":\"" + h.state + "\",\"weight\":" +
-            std::to_string(h.weight) + ",\"started_ms\":0}";
+    text += "{\"id\":\"" + h.id + "\",\"addr\":\"" + h.address + "\",\"zone\":\"" + h.zone +
+            "\",\"kind\":\"" + h.kind + "\",\"cell\":" + std::to_string(h.cell) + ",\"state\":\"" + h.state +
+            "\",\"weight\":" + std::to_string(h.weight) + ",\"started_ms\":0}";
   }
   return text + "]}";
 }
@@ -578,13 +583,14 @@
   return client.ask("GET /up HTTP/1.1\r\nHost: relay\r\n\r\n", 1000) == 200;
 }
 
-inline std::string submission(const std::string& id, const std::string& message_class, int destination, long budget_ms,
-                              const std::string& caller = "attiki", const std::string& body = "order",
-                              const std::string& more = "") {
-  return "POST /" + message_class + " HTTP/1.1\r\nHost: origin.svc\r\nX-Call-Id: " + id + "\r\nX-Call-Class: " +
-         message_class + "\r\nX-Caller: " + caller + "\r\nX-Budget-Ms: " + std::to_string(budget_ms) +
-         "\r\nX-Consignee: dest=" + std::to_string(destination) + "\r\n" + more + "Content-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
+inline std::string submission(const std::string& id, const std::string& message_class, int destination,
+                              long budget_ms, const std::string& caller = "attiki",
+                              const std::string& body = "order", const std::string& more = "") {
+  return "POST /" + message_class + " HTTP/1.1\r\nHost: origin.svc\r\nX-Call-Id: " + id +
+         "\r\nX-Call-Class: " + message_class + "\r\nX-Caller: " + caller +
+         "\r\nX-Budget-Ms: " + std::to_string(budget_ms) +
+         "\r\nX-Consignee: dest=" + std::to_string(destination) + "\r\n" + more +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 // --- Frame of a case: its folder of temporary files, its record, a bound on its time.
@@ -611,7 +617,11 @@
   if (!folder.empty()) {
     if (std::getenv("KEEP") == nullptr) std::filesystem::remove_all(folder);
   }
-  say("%s%s", result == kHeld ? "HELD" : result == kBroken ? "BROKEN" : "COULD NOT RUN", trouble() ? "" : " (TROUBLE=0)");
+  say("%s%s",
+      result == kHeld     ? "HELD"
+      : result == kBroken ? "BROKEN"
+                          : "COULD NOT RUN",
+      trouble() ? "" : " (TROUBLE=0)");
   return result;
 }
 
