--- a/review/build.sh
+++ b/review/build.sh
@@ -2,6 +2,9 @@
 # Builds every program that a case starts besides the relay, into build/review. Run from anywhere, after the build of
 # the deploy file.
 set -eu
+# An empty environment has none that programs inherit, and the compiler looks for its parts through it.
+PATH=${PATH:-/usr/local/bin:/usr/bin:/bin}
+export PATH
 cd "$(dirname "$0")/.."
 mkdir -p build/review
 cxx="${CXX:-c++} -std=c++20 -O1 -pthread -Ireview/common"
--- a/review/common/rig.hpp
+++ b/review/common/rig.hpp
@@ -600,11 +600,11 @@
   if (::mkdtemp(path.data()) == nullptr) throw CannotRun("no temporary folder");
   return path;
 }
-// `argv[1]`: the case's folder. The working directory is the project's root.
+// `argv[1]`: the path of the case's record.txt. The working directory is the project's root.
 inline int run_case(int argc, char** argv, const std::function<int(const std::string& folder)>& play) {
   if (argc < 2) return kCouldNotRun;
   ::signal(SIGPIPE, SIG_IGN);
-  Record::get().open(std::string(argv[1]) + "/record.txt");
+  Record::get().open(argv[1]);
   ::alarm(118);  // by then it could not run; the relay's process ends with this one
   std::string folder;
   int result = kCouldNotRun;
