Fault library: only system calls that every 64-bit Linux has

The tests did not build on an aarch64 machine: access, readlink, rename, unlink, stat and epoll_wait have no number of their own there. The library calls faccessat, readlinkat, renameat2, unlinkat, newfstatat and epoll_pwait in their place, with the arguments that make them the same. Which functions fail, and by which rules, is unchanged.

--- a/tools/faults/fault_shim.cpp
+++ b/tools/faults/fault_shim.cpp
@@ -10,6 +10,9 @@
 // FENNELLANE_FAULT_SWITCH names a file: rules hold only while it exists.
 // FENNELLANE_FAULT_CLOCK_S is added to the wall clock, in seconds.
 //
+// Only system calls that every 64-bit Linux has are used: newer architectures lack open, stat, unlink and
+// their like.
+//
 // An accept that fails with ECONNABORTED takes the connection and closes it, as the system does.
 #include <errno.h>
 #include <fcntl.h>
@@ -46,6 +49,7 @@
 
 constexpr std::size_t kMostRules = 16;
 constexpr int kHighestError = 133;
+constexpr std::size_t kKernelSignalSetSize = 8;  // bytes, of the kernel's sigset_t
 
 int error_number(std::string_view name) {
   for (int number = 1; number <= kHighestError; ++number) {
@@ -93,7 +97,7 @@
 
  private:
   bool holds(const Rule& rule) const {
-    if (!switch_.empty() && syscall(SYS_access, switch_.c_str(), F_OK) != 0) return false;
+    if (!switch_.empty() && syscall(SYS_faccessat, AT_FDCWD, switch_.c_str(), F_OK) != 0) return false;
     const long at = now_ms() - began_ms_;
     return at >= rule.from_ms && at < rule.to_ms;
   }
@@ -134,7 +138,7 @@
 std::string path_of_descriptor(int fd) {
   char path[PATH_MAX];
   const std::string link = "/proc/self/fd/" + std::to_string(fd);
-  const ssize_t size = syscall(SYS_readlink, link.c_str(), path, sizeof path);
+  const ssize_t size = syscall(SYS_readlinkat, AT_FDCWD, link.c_str(), path, sizeof path);
   return size > 0 ? std::string(path, static_cast<std::size_t>(size)) : std::string();
 }
 
@@ -184,16 +188,17 @@
 }
 int fsync(int fd) { return fails("fsync", fd) ? -1 : static_cast<int>(syscall(SYS_fsync, fd)); }
 int rename(const char* from, const char* to) noexcept {
-  return fails_on("rename", from) ? -1 : static_cast<int>(syscall(SYS_rename, from, to));
+  return fails_on("rename", from) ? -1
+                                  : static_cast<int>(syscall(SYS_renameat2, AT_FDCWD, from, AT_FDCWD, to, 0));
 }
 int unlink(const char* path) noexcept {
-  return fails_on("unlink", path) ? -1 : static_cast<int>(syscall(SYS_unlink, path));
+  return fails_on("unlink", path) ? -1 : static_cast<int>(syscall(SYS_unlinkat, AT_FDCWD, path, 0));
 }
 int fstat(int fd, struct stat* found) noexcept {
   return fails("fstat", fd) ? -1 : static_cast<int>(syscall(SYS_fstat, fd, found));
 }
 int stat(const char* path, struct stat* found) noexcept {
-  return fails_on("stat", path) ? -1 : static_cast<int>(syscall(SYS_stat, path, found));
+  return fails_on("stat", path) ? -1 : static_cast<int>(syscall(SYS_newfstatat, AT_FDCWD, path, found, 0));
 }
 off_t lseek(int fd, off_t offset, int whence) noexcept {
   return fails("lseek", fd) ? -1 : static_cast<off_t>(syscall(SYS_lseek, fd, offset, whence));
@@ -274,7 +279,9 @@
   return fails("epoll_ctl", fd) ? -1 : static_cast<int>(syscall(SYS_epoll_ctl, epoll, operation, fd, event));
 }
 int epoll_wait(int epoll, epoll_event* events, int most, int timeout) {
-  return fails("epoll_wait") ? -1 : static_cast<int>(syscall(SYS_epoll_wait, epoll, events, most, timeout));
+  if (fails("epoll_wait")) return -1;
+  return static_cast<int>(
+      syscall(SYS_epoll_pwait, epoll, events, most, timeout, nullptr, kKernelSignalSetSize));
 }
 int timerfd_create(int clock, int flags) noexcept {
   return fails("timerfd_create") ? -1 : static_cast<int>(syscall(SYS_timerfd_create, clock, flags));
@@ -283,8 +290,8 @@
   return fails("eventfd") ? -1 : static_cast<int>(syscall(SYS_eventfd2, initial, flags));
 }
 int signalfd(int fd, const sigset_t* set, int flags) noexcept {
-  constexpr std::size_t kKernelSetSize = 8;
-  return fails("signalfd") ? -1 : static_cast<int>(syscall(SYS_signalfd4, fd, set, kKernelSetSize, flags));
+  return fails("signalfd") ? -1
+                           : static_cast<int>(syscall(SYS_signalfd4, fd, set, kKernelSignalSetSize, flags));
 }
 
 int clock_gettime(clockid_t clock, timespec* now) noexcept {
