Upgrade: set a child's variables through one function

The warning stays on: "NAME=" was written four times and now stands in one function, and the entry is made in place. The environment of the child is the same.

--- a/src/upgrade/launch.cpp
+++ b/src/upgrade/launch.cpp
@@ -35,17 +35,28 @@
   return pointers;
 }
 
+// "NAME=", as each entry of an environment begins.
+std::string assignment_prefix(const char* name) {
+  std::string prefix = name;
+  prefix += '=';
+  return prefix;
+}
+
+void set_variable(std::vector<std::string>& environment, const char* name, long value) {
+  std::string& entry = environment.emplace_back(assignment_prefix(name));
+  entry += std::to_string(value);
+}
+
 std::vector<std::string> child_environment(pid_t watcher, bool takes_over) {
   std::vector<std::string> variables;
   for (char** variable = environ; *variable != nullptr; ++variable) {
     const std::string text = *variable;
-    if (text.starts_with(std::string(kHandoverVariable) + "=")) continue;
-    if (text.starts_with(std::string(kWatcherVariable) + "=")) continue;
+    if (text.starts_with(assignment_prefix(kHandoverVariable))) continue;
+    if (text.starts_with(assignment_prefix(kWatcherVariable))) continue;
     variables.push_back(text);
   }
-  variables.push_back(std::string(kWatcherVariable) + "=" + std::to_string(watcher));
-  if (takes_over)
-    variables.push_back(std::string(kHandoverVariable) + "=" + std::to_string(kChannelDescriptor));
+  set_variable(variables, kWatcherVariable, watcher);
+  if (takes_over) set_variable(variables, kHandoverVariable, kChannelDescriptor);
   return variables;
 }
 
