A message under another one's id is refused, not answered 202 and dropped

What callers saw: a client was answered 202, and its message was never sent, with no notice.

Cause: Reducer::on(MessageSubmitted) answered `accepted` for each id that was held or had ended lately. The id is the client's claim, and 202 is a promise for the client's own message. Of a message given up or ended nothing but the id was kept, so it could not be compared.

A known id is answered 202 only for the same message, whatever its time left; another one gets 503 without Retry-After, which tells its client that handing it in again (under another id) is harmless, and nothing of it was kept or sent. So each 202 is for a message that is held or has had its end. Counter id_conflicts, and `fennellane why` says "another message has its id"; before, it read like a client's own second try.

on(MessageSubmitted) is divided into checks, refusal and acceptance; the ids that ended are a class.

--- a/src/core/admission_outcome.hpp
+++ b/src/core/admission_outcome.hpp
@@ -8,7 +8,7 @@
 
 enum class AdmissionOutcome : std::uint8_t {
   accepted,
-  duplicate,     // the id is held, or its message ended recently
+  duplicate,     // the message is held, or ended recently
   held_limit,    // the limit on held messages is reached
   notice_limit,  // the limit on ended messages with an unaccepted notice is reached
   journal_full,
@@ -19,8 +19,9 @@
   other,            // requests that submit no message, such as /up
   load_shed,        // rejected before any work was done for it
   storage_failing,  // the journal cannot be written
+  id_conflict,      // another message has the id, which is held or ended recently
 };
-constexpr std::size_t kAdmissionOutcomeCount = 12;
+constexpr std::size_t kAdmissionOutcomeCount = 13;
 
 // How a client's connection ended.
 enum class CloseReason : std::uint8_t {
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -19,6 +19,7 @@
   add("taken", c.accepted);
   add("repeated", c.duplicates);
   add("refused", c.refused);
+  add("id_conflicts", c.id_conflicts);
   add("malformed", c.malformed);
   add("sent", c.sent);
   for (std::size_t i = 0; i < names.size(); ++i) add("answer." + std::string(names[i]), c.outcomes[i]);
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -16,9 +16,10 @@
   std::uint64_t client_connections = 0;  // connections accepted
   std::uint64_t evicted = 0;             // of these, closed to admit another connection
   std::uint64_t accepted = 0;
-  std::uint64_t duplicates = 0;  // an id that is held, or whose message ended recently
-  std::uint64_t refused = 0;     // 503
-  std::uint64_t malformed = 0;   // any answer other than 200, 202 and 503
+  std::uint64_t duplicates = 0;    // a message that is held, or that ended recently
+  std::uint64_t refused = 0;       // 503
+  std::uint64_t id_conflicts = 0;  // of these, another message has the id
+  std::uint64_t malformed = 0;     // any answer other than 200, 202 and 503
   // Upstream.
   std::uint64_t sent = 0;
   std::array<std::uint64_t, kOutcomeCount> outcomes{};
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -1,6 +1,7 @@
 #include "reducer.hpp"
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 namespace fennellane {
@@ -16,7 +17,8 @@
                                ? std::min(limits.refusal_retry_after, settings.max_retry_after)
                                : Time(0)),
       forwarder_(settings),
-      next_stream_(next_stream) {
+      next_stream_(next_stream),
+      ended_(limits.max_ended_ids) {
   for (const starlinghook::ClassSettings& c : settings.classes) {
     aims_.push_back(c.aim);
     repeatable_.push_back(c.effect == starlinghook::Effect::safe);
@@ -45,57 +47,75 @@
   }
 }
 
-Reducer::Stream& Reducer::add_stream(StreamId id, std::string message_id, Body body) {
-  stream_ids_[message_id] = id;
+Reducer::Stream& Reducer::add_stream(StreamId id, const JournalEntry& entry) {
+  stream_ids_[entry.id] = id;
   Stream& stream = streams_[id];
-  stream.id = std::move(message_id);
-  stream.body = std::move(body);
+  stream.id = entry.id;
+  stream.idempotency_key = entry.idempotency_key;
+  stream.fingerprint = fingerprint_of(entry);
+  stream.body = entry.body;
   return stream;
 }
 
-// The order of effects is essential: journal record, answer to the client, first call.
+const MessageFingerprint* Reducer::find_known_message(const std::string& id) const {
+  const auto held = stream_ids_.find(id);
+  return held == stream_ids_.end() ? ended_.find(id) : &streams_.at(held->second).fingerprint;
+}
+
+AdmissionOutcome Reducer::check_admission(const MessageSubmitted& submitted) const {
+  // A message to an unknown destination would be held until its deadline without ever being delivered. Before
+  // discovery has sent its list, the destination may still appear, so the client is refused and may retry.
+  if (submitted.destination >= destinations_.size() || !destinations_[submitted.destination])
+    return host_list_received_ ? AdmissionOutcome::unknown_destination : AdmissionOutcome::no_host_list;
+  if (streams_.size() - given_up_ >= limits_.max_held) return AdmissionOutcome::held_limit;
+  if (streams_.size() >= limits_.max_held_and_unnoticed) return AdmissionOutcome::notice_limit;
+  if (!storage_writable_) return AdmissionOutcome::storage_failing;
+  return submitted.journal_has_room ? AdmissionOutcome::accepted : AdmissionOutcome::journal_full;
+}
+
+void Reducer::refuse(RequestHandle request, AdmissionOutcome reason) {
+  const bool unknown = reason == AdmissionOutcome::unknown_destination;
+  ++(unknown ? counters_.malformed : counters_.refused);
+  const AdmissionReply reply = unknown ? AdmissionReply::unknown_destination : AdmissionReply::refused;
+  // A message whose id is taken may be submitted again at once, under another id.
+  const Time retry_after = reason == AdmissionOutcome::id_conflict ? Time(0) : refusal_retry_after_;
+  emit(SendAnswer{request, reply, retry_after, reason, 0});
+}
+
+// `accepted` promises the client that its own message gets its final result, so an id that is known is not
+// enough: the message must be the same.
 void Reducer::on(const MessageSubmitted& submitted) {
-  if (stream_ids_.count(submitted.id) || ended_ids_.count(submitted.id)) {
+  JournalEntry entry;
+  entry.id = submitted.id;
+  entry.idempotency_key = submitted.idempotency_key;
+  entry.message_class = submitted.message_class;
+  entry.tenant = submitted.tenant;
+  entry.destination = submitted.destination;
+  entry.body = submitted.body;
+  if (const MessageFingerprint* known = find_known_message(submitted.id)) {
+    if (*known != fingerprint_of(entry)) {
+      ++counters_.id_conflicts;
+      return refuse(submitted.request, AdmissionOutcome::id_conflict);
+    }
     ++counters_.duplicates;
     return emit(
         SendAnswer{submitted.request, AdmissionReply::accepted, Time(0), AdmissionOutcome::duplicate, 0});
   }
-  // A message to an unknown destination would be held until its deadline without ever being delivered. Before
-  // discovery has sent its list, the destination may still appear, so the client is refused and may retry.
-  if (submitted.destination >= destinations_.size() || !destinations_[submitted.destination]) {
-    ++(host_list_received_ ? counters_.malformed : counters_.refused);
-    return emit(SendAnswer{
-        submitted.request,
-        host_list_received_ ? AdmissionReply::unknown_destination : AdmissionReply::refused,
-        refusal_retry_after_,
-        host_list_received_ ? AdmissionOutcome::unknown_destination : AdmissionOutcome::no_host_list, 0});
-  }
-  const AdmissionOutcome admission =
-      streams_.size() - given_up_ >= limits_.max_held     ? AdmissionOutcome::held_limit
-      : streams_.size() >= limits_.max_held_and_unnoticed ? AdmissionOutcome::notice_limit
-      : !storage_writable_                                ? AdmissionOutcome::storage_failing
-      : !submitted.journal_has_room                       ? AdmissionOutcome::journal_full
-                                                          : AdmissionOutcome::accepted;
-  if (admission != AdmissionOutcome::accepted) {
-    ++counters_.refused;
-    return emit(SendAnswer{submitted.request, AdmissionReply::refused, refusal_retry_after_, admission, 0});
-  }
+  const AdmissionOutcome admission = check_admission(submitted);
+  if (admission != AdmissionOutcome::accepted) return refuse(submitted.request, admission);
+  accept(submitted, std::move(entry));
+}
+
+// The order of effects is essential: journal record, answer to the client, first call.
+void Reducer::accept(const MessageSubmitted& submitted, JournalEntry entry) {
   ++counters_.accepted;
   const StreamId id = next_stream_++;
-  Stream& stream = add_stream(id, submitted.id, submitted.body);
-  stream.idempotency_key = submitted.idempotency_key;
+  Stream& stream = add_stream(id, entry);
   stream.deadline = now_ + submitted.time_left;
   if (submitted.message_class < aims_.size()) {
     stream.late_at = now_ + aims_[submitted.message_class];
     stream.repeatable = repeatable_[submitted.message_class];
   }
-  JournalEntry entry;
-  entry.id = submitted.id;
-  entry.idempotency_key = submitted.idempotency_key;
-  entry.message_class = submitted.message_class;
-  entry.tenant = submitted.tenant;
-  entry.destination = submitted.destination;
-  entry.body = submitted.body;
   emit(RecordAccepted{id, std::move(entry), submitted.time_left});
   emit(SendAnswer{submitted.request, AdmissionReply::accepted, Time(0), AdmissionOutcome::accepted, id});
   starlinghook::MessageArrived arrived;
@@ -110,8 +130,7 @@
 void Reducer::on(const MessageRestored& restored) {
   ++counters_.restored;
   const JournalEntry& e = restored.entry;
-  Stream& stream = add_stream(restored.stream, e.id, e.body);
-  stream.idempotency_key = e.idempotency_key;
+  Stream& stream = add_stream(restored.stream, e);
   stream.attempts = e.attempts;
   stream.deadline = now_ + restored.time_left;
   if (e.verdict) {
@@ -411,17 +430,11 @@
 }
 void Reducer::execute(const starlinghook::LogMessage& a) { emit(LogMessage{a.text}); }
 
-// The message has its final result. Its id is kept for a while: a client that got no answer may submit it
-// again.
+// The message has its final result.
 void Reducer::end_message(std::map<StreamId, Stream>::iterator it) {
   emit(RecordEnded{it->first});
   stream_ids_.erase(it->second.id);
-  ended_ids_.insert(it->second.id);
-  ended_.push_back(std::move(it->second.id));
-  if (ended_.size() > limits_.max_ended_ids) {
-    ended_ids_.erase(ended_.front());
-    ended_.pop_front();
-  }
+  ended_.add(std::move(it->second.id), it->second.fingerprint);
   streams_.erase(it);
 }
 
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -4,21 +4,21 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <unordered_set>
 #include <variant>
 #include <vector>
 
 #include "admission_outcome.hpp"
 #include "cluster.hpp"
 #include "counters.hpp"
+#include "ended_messages.hpp"
 #include "limits.hpp"
+#include "message_fingerprint.hpp"
 #include "roles.hpp"
 #include "stream.hpp"
 
@@ -200,14 +200,15 @@
   std::size_t hosts() const { return cluster_.size(); }
   // Number of stored records of streams, hosts and ids, including the module's.
   std::size_t record_count() const {
-    return streams_.size() + stream_ids_.size() + ended_.size() + ended_ids_.size() + host_ids_.size() +
-           cluster_.size() + forwarder_.record_count();
+    return streams_.size() + stream_ids_.size() + ended_.record_count() + host_ids_.size() + cluster_.size() +
+           forwarder_.record_count();
   }
 
  private:
   struct Stream {
     std::string id;
     std::string idempotency_key;
+    MessageFingerprint fingerprint;
     Body body;
     std::uint32_t attempts = 0;
     bool repeatable = false;  // may be sent any number of times
@@ -254,7 +255,13 @@
   void execute(const starlinghook::WatchList&) {}
   void execute(const starlinghook::FetchList&) {}
 
-  Stream& add_stream(StreamId id, std::string message_id, Body body);
+  // The fingerprint of the message with this id that is held or ended recently; null if there is none.
+  const MessageFingerprint* find_known_message(const std::string& id) const;
+  // Why a message whose id is unknown is not accepted, or `accepted`.
+  AdmissionOutcome check_admission(const MessageSubmitted& submitted) const;
+  void refuse(RequestHandle request, AdmissionOutcome reason);
+  void accept(const MessageSubmitted& submitted, JournalEntry entry);
+  Stream& add_stream(StreamId id, const JournalEntry& entry);
   void give_up(StreamId stream, Verdict verdict, Time retry_after, starlinghook::GiveUpReason reason);
   bool answered_too_late(const Stream& stream, const CallEnded& call) const;
   template <class Predicate>
@@ -280,8 +287,7 @@
   std::map<StreamId, Stream> streams_;
   std::size_t given_up_ = 0;  // of these, given up and waiting for their notice to be accepted
   std::unordered_map<std::string, StreamId> stream_ids_;
-  std::deque<std::string> ended_;  // ids of recently ended messages
-  std::unordered_set<std::string> ended_ids_;
+  EndedMessages ended_;
   std::unordered_map<std::string, HostId> host_ids_;
   // The cluster: hosts listed by discovery, and removed hosts that still have calls in flight.
   struct Host {
--- a/src/core/reducer_snapshot.cpp
+++ b/src/core/reducer_snapshot.cpp
@@ -7,13 +7,14 @@
 namespace fennellane {
 namespace {
 
-constexpr std::uint32_t kSnapshotVersion = 7;
+constexpr std::uint32_t kSnapshotVersion = 8;
 
 }  // namespace
 
 template <class Archive>
 void Reducer::Stream::serialize(Archive& archive) {
-  archive(id, idempotency_key, attempts, repeatable, host, in_flight, given_up, late_at, deadline);
+  archive(id, idempotency_key, fingerprint, attempts, repeatable, host, in_flight, given_up, late_at,
+          deadline);
 }
 
 template <class Archive>
@@ -71,7 +72,6 @@
     if (!stream.body) throw starlinghook::SnapshotError("a held message is missing from the journal");
   }
   for (const auto& [id, host] : cluster_) host_ids_[host.entry.id] = id;
-  ended_ids_.insert(ended_.begin(), ended_.end());
 }
 
 }  // namespace fennellane
--- a/src/record/account.cpp
+++ b/src/record/account.cpp
@@ -77,6 +77,8 @@
       return "turned away under pressure";
     case AdmissionOutcome::storage_failing:
       return "the journal cannot be written";
+    case AdmissionOutcome::id_conflict:
+      return "another message has its id";
   }
   return "";
 }
--- a/tests/record_test.cpp
+++ b/tests/record_test.cpp
@@ -103,6 +103,13 @@
   EXPECT_GT(seen, 0u);
 }
 
+TEST(Account, HasATextForEachAdmissionOutcome) {
+  for (std::size_t i = 0; i < kAdmissionOutcomeCount; ++i) {
+    EXPECT_STRNE(admission_text(static_cast<AdmissionOutcome>(i)), "") << i;
+  }
+  EXPECT_STREQ(admission_text(static_cast<AdmissionOutcome>(kAdmissionOutcomeCount)), "");
+}
+
 // Two relays, alike but for their ends: what each has few of is many together, and a call that follows a
 // failure of the same relay is counted apart until one succeeds.
 TEST(FleetAccount, AddsUpWhatManyRelaysDid) {
