Flight record: `why ID` shows every request and message under the id, not the newest alone

The record, too, took an id for one message: `fennellane why ID` showed the newest request, so a client's second try ("held already, no message"), or another client's request, hid what had become of the message.

--- a/src/core/message_fingerprint.hpp
+++ b/src/core/message_fingerprint.hpp
@@ -2,7 +2,7 @@
 //
 // Ids are chosen by clients, so an id alone does not identify a message: another client may use it for a
 // message of its own. Requests submit the same message if class, tenant, destination, idempotency key and
-// body are equal as well. The time left is not compared, since it differs when a request is sent again.
+// body are equal as well. The time left is not compared, since it may differ when a request is sent again.
 #pragma once
 
 #include <cstdint>
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -272,7 +272,7 @@
       record::print_summary(account, options.seconds, std::cout);
       return 0;
     }
-    if (record::print_life(account, options.id, std::cout)) return 0;
+    if (record::print_message(account, options.id, options.max_listed, std::cout)) return 0;
     std::fprintf(stderr, "fennellane: the record does not contain %s%s\n", options.id.c_str(),
                  contents.overwritten > 0 ? "; its beginning has been overwritten" : "");
   } catch (const record::RecordError& e) {
--- a/src/record/account.cpp
+++ b/src/record/account.cpp
@@ -231,12 +231,14 @@
   life.calls.back().strays.push_back({e.at, e.code, bounded<StrayPlace>(e.n[1], kStrayPlaces)});
 }
 
-const Life* Account::find(const std::string& name) const {
+std::vector<const Life*> Account::find(const std::string& name) const {
   const auto kept = short_name(name);
   const std::string wanted(kept.data(), ::strnlen(kept.data(), kept.size()));
-  const auto it =
-      std::find_if(lives_.rbegin(), lives_.rend(), [&](const Life& l) { return l.name == wanted; });
-  return it == lives_.rend() ? nullptr : &*it;
+  std::vector<const Life*> found;
+  for (const Life& life : lives_) {
+    if (life.name == wanted) found.push_back(&life);
+  }
+  return found;
 }
 
 Fate Account::fate(const Life& life) const {
--- a/src/record/account.hpp
+++ b/src/record/account.hpp
@@ -96,8 +96,9 @@
   const Legend& legend() const { return legend_; }
   const std::vector<Life>& lives() const { return lives_; }
   const std::vector<Second>& seconds() const { return seconds_; }
-  // The newest life under that name.
-  const Life* find(const std::string& name) const;
+  // All under that name, in the order of the record: a request may be sent again, a message be read back by
+  // the next process, and clients may use one id for several messages.
+  std::vector<const Life*> find(const std::string& name) const;
   Fate fate(const Life& life) const;
   // Calls to a destination that ended within a span, by outcome.
   std::map<starlinghook::Outcome, std::size_t> outcomes(std::uint32_t destination, Moment from,
--- a/src/record/report.cpp
+++ b/src/record/report.cpp
@@ -136,6 +136,61 @@
   return text.empty() ? "none" : text;
 }
 
+void print_request(const Account& account, const Life& life, std::ostream& out) {
+  out << clock_text(life.began) << "  " << (life.restored ? "read back from the journal" : "asked") << ": "
+      << class_name(account, life.message_class) << " of " << tenant_name(account, life.tenant)
+      << " to destination " << life.destination << ", " << life.left_ms << " ms left";
+  if (life.waited_us) out << ", read " << *life.waited_us / 1000 << " ms after its last byte";
+  out << '\n';
+  if (life.admission)
+    out << clock_text(life.began) << "  at the door: " << admission_text(*life.admission) << '\n';
+}
+
+void print_call(const CallSeen& call, std::ostream& out) {
+  out << clock_text(call.from) << "  call to " << call.host << ": ";
+  if (!call.to) {
+    out << "no end in the record\n";
+    return;
+  }
+  out << kOutcomeTexts[static_cast<std::size_t>(call.outcome)] << " after " << (*call.to - call.from) / 1000
+      << " ms";
+  if (call.told_wait_ms > 0) out << ", told to wait " << call.told_wait_ms << " ms";
+  if (call.connection != 0) {
+    out << ", call " << call.nth << " of connection " << call.connection
+        << (call.asks_close ? ", asking for its close" : "");
+  }
+  out << '\n';
+  for (const StraySeen& stray : call.strays) {
+    out << clock_text(stray.at) << "    passed over: "
+        << (stray.status == 0 ? std::string("bytes") : "an answer " + std::to_string(stray.status))
+        << " that belongs to no call, " << kStrayPlaceTexts[static_cast<std::size_t>(stray.place)] << '\n';
+  }
+}
+
+void print_end(const Account& account, const Life& life, std::ostream& out) {
+  const Moment end = life.given_up ? *life.given_up : life.ended ? *life.ended : account.seconds().back().at;
+  if (life.given_up) {
+    out << clock_text(*life.given_up) << "  given up as "
+        << (life.verdict == Verdict::deferred ? "deferred" : "undeliverable") << '\n';
+  }
+  if (life.ended) {
+    out << clock_text(*life.ended) << "  "
+        << (life.end == End::noticed ? "the platform has taken its notice" : "ended") << '\n';
+  }
+  out << "calls to destination " << life.destination
+      << " meanwhile: " << outcome_counts(account.outcomes(life.destination, life.began, end)) << '\n';
+  const Fate fate = account.fate(life);
+  out << fate_text(fate);
+  if (fate == Fate::refused_admission) out << ": " << admission_text(*life.admission);
+  out << '\n';
+}
+
+void print_life(const Account& account, const Life& life, std::ostream& out) {
+  print_request(account, life, out);
+  for (const CallSeen& call : life.calls) print_call(call, out);
+  print_end(account, life, out);
+}
+
 }  // namespace
 
 void print_summary(const Account& account, std::size_t most_seconds, std::ostream& out) {
@@ -172,54 +227,15 @@
   print_seconds(account, most_seconds, out);
 }
 
-bool print_life(const Account& account, const std::string& name, std::ostream& out) {
-  const Life* const life = account.find(name);
-  if (!life) return false;
-  out << clock_text(life->began) << "  " << (life->restored ? "read back from the journal" : "asked") << ": "
-      << class_name(account, life->message_class) << " of " << tenant_name(account, life->tenant)
-      << " to destination " << life->destination << ", " << life->left_ms << " ms left";
-  if (life->waited_us) out << ", read " << *life->waited_us / 1000 << " ms after its last byte";
-  out << '\n';
-  if (life->admission)
-    out << clock_text(life->began) << "  at the door: " << admission_text(*life->admission) << '\n';
-  for (const CallSeen& call : life->calls) {
-    out << clock_text(call.from) << "  call to " << call.host << ": ";
-    if (!call.to) {
-      out << "no end in the record\n";
-      continue;
-    }
-    out << kOutcomeTexts[static_cast<std::size_t>(call.outcome)] << " after " << (*call.to - call.from) / 1000
-        << " ms";
-    if (call.told_wait_ms > 0) out << ", told to wait " << call.told_wait_ms << " ms";
-    if (call.connection != 0) {
-      out << ", call " << call.nth << " of connection " << call.connection
-          << (call.asks_close ? ", asking for its close" : "");
-    }
-    out << '\n';
-    for (const StraySeen& stray : call.strays) {
-      out << clock_text(stray.at) << "    passed over: "
-          << (stray.status == 0 ? std::string("bytes") : "an answer " + std::to_string(stray.status))
-          << " that belongs to no call, " << kStrayPlaceTexts[static_cast<std::size_t>(stray.place)] << '\n';
-    }
-  }
-  const Moment end = life->given_up ? *life->given_up
-                     : life->ended  ? *life->ended
-                                    : account.seconds().back().at;
-  if (life->given_up) {
-    out << clock_text(*life->given_up) << "  given up as "
-        << (life->verdict == Verdict::deferred ? "deferred" : "undeliverable") << '\n';
+bool print_message(const Account& account, const std::string& name, std::size_t most, std::ostream& out) {
+  const std::vector<const Life*> lives = account.find(name);
+  const std::size_t first = lives.size() > most ? lives.size() - most : 0;
+  if (first > 0) out << "the newest " << most << " of " << lives.size() << " under this id\n\n";
+  for (std::size_t i = first; i < lives.size(); ++i) {
+    if (i > first) out << '\n';
+    print_life(account, *lives[i], out);
   }
-  if (life->ended) {
-    out << clock_text(*life->ended) << "  "
-        << (life->end == End::noticed ? "the platform has taken its notice" : "ended") << '\n';
-  }
-  out << "calls to destination " << life->destination
-      << " meanwhile: " << outcome_counts(account.outcomes(life->destination, life->began, end)) << '\n';
-  const Fate fate = account.fate(*life);
-  out << fate_text(fate);
-  if (fate == Fate::refused_admission) out << ": " << admission_text(*life->admission);
-  out << '\n';
-  return true;
+  return !lives.empty();
 }
 
 void print_lives(const Account& account, Fate fate, std::size_t most, std::ostream& out) {
--- a/tests/record_test.cpp
+++ b/tests/record_test.cpp
@@ -211,7 +211,7 @@
       const Contents contents = read_record(path_);
       const Account account(contents);
       print_summary(account, 100, out);
-      for (int i = 0; i < 9; ++i) print_life(account, "m" + std::to_string(i), out);
+      for (int i = 0; i < 9; ++i) print_message(account, "m" + std::to_string(i), 100, out);
       print_raw(contents, out);
     } catch (const RecordError&) {
     }
@@ -244,7 +244,7 @@
   const std::string path = relay.state_folder() + "/record";
   const auto told = [&](const std::string& id) {
     std::ostringstream out;
-    print_life(Account(read_record(path)), id, out);
+    print_message(Account(read_record(path)), id, 100, out);
     return out.str();
   };
   ASSERT_TRUE(t::happens([&] {
@@ -253,7 +253,14 @@
            told("broke").find("the platform has taken its notice") != std::string::npos;
   })) << told("fine")
       << told("waits") << told("broke");
+  EXPECT_EQ(relay.ask(t::request_text("fine")), 202u);
+  EXPECT_EQ(relay.ask(t::request_text("fine", "another body")), 503u);
   EXPECT_EQ(relay.end(SIGKILL), -SIGKILL);
+  // Later requests under an id do not hide what became of the message.
+  EXPECT_NE(told("fine").find("delivered in time"), std::string::npos) << told("fine");
+  EXPECT_NE(told("fine").find("at the door: held already"), std::string::npos) << told("fine");
+  EXPECT_NE(told("fine").find("refused at the door: another message has its id"), std::string::npos)
+      << told("fine");
   EXPECT_NE(told("waits").find("given up, as no call would end in time"), std::string::npos) << told("waits");
   EXPECT_NE(told("broke").find("reset after"), std::string::npos) << told("broke");
   EXPECT_NE(told("broke").find("given up, as it may have run and must not be repeated"), std::string::npos);
