Fault laboratory: clients whose ids another client uses before their last byte

In the laboratory no two clients used one id, and its checker took an id for one message, as the relay did.

Change: with `contested_in_100`, a client hands a message in in two pieces and another client hands in one of its own with that id between them. Histories are kept by id and body. That is as strict as before: what reaches a partner has to be, byte for byte, what a client sent under the id; and stricter for ends, as a delivery of another body ends nothing (the check that finds planted flaws counts these). The connection of a client is a class of its own. Messages and draws of a seed without contested ids are as they were.

--- a/tools/harness/fault_client.cpp
+++ b/tools/harness/fault_client.cpp
@@ -1,20 +1,16 @@
 #include "fault_client.hpp"
 
-#include <sys/socket.h>
-
-#include <asio/buffer.hpp>
-#include <asio/write.hpp>
+#include <string_view>
 #include <thread>
 #include <utility>
 
-#include "http.hpp"
-
 namespace fennellane::harness {
 namespace {
 
 using std::chrono::milliseconds;
-constexpr timeval kAnswerLimit{5, 0};
 constexpr std::size_t kMostBody = 3000;  // bytes
+constexpr milliseconds kBetweenPieces{3};
+constexpr milliseconds kMostBetweenPieces{1000};  // well within the time that a relay gives a request
 
 std::string request_of(const Message& m) {
   return "POST /" + m.message_class + " HTTP/1.1\r\nHost: origin.svc\r\nX-Call-Id: " + m.id +
@@ -25,62 +21,70 @@
 
 }  // namespace
 
-FaultClient::FaultClient(const standin::RelayProcess& relay, std::uint64_t seed, std::string name)
-    : relay_(relay), name_(std::move(name)), random_(seed) {}
+FaultClient::FaultClient(const standin::RelayProcess& relay, std::uint64_t seed, std::string name,
+                         unsigned contested_in_100)
+    : name_(std::move(name)),
+      contested_in_100_(contested_in_100),
+      random_(seed),
+      rival_random_(~seed),
+      connection_(relay),
+      rival_connection_(relay) {}
 
 void FaultClient::run(const std::atomic<bool>& stop) {
   while (!stop) {
-    Message message = draw_message();
-    message.due = std::chrono::steady_clock::now() + kMessageBudget;
-    message.seen = hand_in(message);
-    messages_.push_back(std::move(message));
+    const Message message = draw_message();
+    if (rival_random_() % 100 < contested_in_100_) {
+      hand_in_contested(message);
+    } else {
+      hand_in(message);
+    }
     std::this_thread::sleep_for(milliseconds(5 + random_() % 30));
   }
 }
 
 Message FaultClient::draw_message() {
   Message message;
-  message.id = name_ + "-" + std::to_string(messages_.size());
+  message.id = name_ + "-" + std::to_string(drawn_++);
   message.message_class = random_() % 2 == 0 ? "note" : "pay";
   const std::size_t size = 1 + random_() % kMostBody;
   message.body = std::string(size, static_cast<char>('a' + random_() % 26));
+  message.due = std::chrono::steady_clock::now() + kMessageBudget;
   return message;
 }
 
-Seen FaultClient::hand_in(const Message& message) {
-  if (!connect()) return close(Seen::nothing);
-  asio::error_code error;
-  asio::write(*socket_, asio::buffer(request_of(message)), error);
-  return error ? close(Seen::nothing) : read_answer();
+Message FaultClient::draw_rival(const Message& message) {
+  Message rival = message;
+  rival.message_class = rival_random_() % 2 == 0 ? "note" : "pay";
+  rival.body = "rival";
+  return rival;
 }
 
-bool FaultClient::connect() {
-  if (socket_ && socket_->is_open()) return true;
-  socket_ = std::make_unique<asio::ip::tcp::socket>(relay_.connected(io_));
-  return socket_->is_open() && ::setsockopt(socket_->native_handle(), SOL_SOCKET, SO_RCVTIMEO, &kAnswerLimit,
-                                            sizeof kAnswerLimit) == 0;
+void FaultClient::hand_in(const Message& message) {
+  const bool written = connection_.write(request_of(message));
+  keep(message, written ? connection_.read_answer() : Seen::nothing);
 }
 
-Seen FaultClient::read_answer() {
-  HttpReader reader(HttpReader::Kind::response, 65536, 65536);
-  char piece[2048];
-  while (!reader.done() && !reader.failed()) {
-    const ssize_t n = ::recv(socket_->native_handle(), piece, sizeof piece, 0);
-    if (n <= 0) return close(Seen::nothing);
-    reader.feed({piece, static_cast<std::size_t>(n)});
+void FaultClient::hand_in_contested(const Message& message) {
+  const auto began_at = std::chrono::steady_clock::now();
+  const std::string request = request_of(message);
+  const std::string_view first = std::string_view(request).substr(0, rival_random_() % request.size());
+  const std::string_view rest = std::string_view(request).substr(first.size());
+  const bool began = connection_.write(first);
+  std::this_thread::sleep_for(kBetweenPieces);
+  const Message rival = draw_rival(message);
+  const bool rival_written = rival_connection_.write(request_of(rival));
+  keep(rival, rival_written ? rival_connection_.read_answer() : Seen::nothing);
+  if (!began || std::chrono::steady_clock::now() - began_at > kMostBetweenPieces) {
+    connection_.close();
+    return keep(message, Seen::nothing);
   }
-  if (!reader.done()) return close(Seen::nothing);
-  const unsigned status = reader.status();
-  const Seen seen = status == 202 ? Seen::taken : status == 503 ? Seen::refused : Seen::failed;
-  return reader.keep_alive() ? seen : close(seen);
+  const bool written = connection_.write(rest);
+  keep(message, written ? connection_.read_answer() : Seen::nothing);
 }
 
-Seen FaultClient::close(Seen seen) {
-  if (socket_) {
-    asio::error_code ignored;
-    socket_->close(ignored);
-  }
-  return seen;
+void FaultClient::keep(Message message, Seen seen) {
+  message.seen = seen;
+  messages_.push_back(std::move(message));
 }
 
 }  // namespace fennellane::harness
--- a/tools/harness/fault_history.hpp
+++ b/tools/harness/fault_history.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace fennellane::harness {
@@ -22,23 +23,26 @@
   TimePoint excused_until{};  // its relay could not end it before this
 };
 
+// Clients may use one id for different messages.
+using MessageKey = std::pair<std::string, std::string>;  // id and body
+inline MessageKey key_of(const Message& message) { return {message.id, message.body}; }
+
 // A message at a partner.
 struct Arrival {
   std::size_t ran = 0;
-  bool delivered = false, other_body = false;
-  std::string body;
+  bool delivered = false;
   TimePoint delivered_at{};  // first
 };
-using Arrivals = std::map<std::string, Arrival>;   // by id
+using Arrivals = std::map<MessageKey, Arrival>;
 using Notices = std::map<std::string, TimePoint>;  // by id: when the platform first took one
 
 struct History {
-  std::map<std::string, Message> messages;  // by id
+  std::map<MessageKey, Message> messages;
   Arrivals arrivals;
   Notices notices;
 
   void add(const Arrivals& of_one_partner);
-  bool has_end(const std::string& id) const;
+  bool has_end(const Message& message) const;
   bool all_taken_have_ends() const;
 };
 
@@ -52,7 +56,7 @@
 // Adds what the history shows to the report.
 void check(const History& history, FaultReport& report);
 // As if a message that ran had run again, and others had come back in another form, been refused or been
-// taken on without an end.
+// taken on without an end, one of these under the id of a message that was delivered.
 void plant_flaws(History& history);
 
 }  // namespace fennellane::harness
--- a/tools/harness/fault_lab.cpp
+++ b/tools/harness/fault_lab.cpp
@@ -34,6 +34,7 @@
                              i,
                              plan.relays.size(),
                              plan.seed,
+                             plan.contested_in_100,
                              plan.relay_gap * static_cast<milliseconds::rep>(i)};
       relays_.push_back(std::make_unique<FaultRelay>(setup, plan.relays[i]));
     }
@@ -63,7 +64,7 @@
   History history() const {
     History history;
     for (const auto& relay : relays_) {
-      for (const Message& message : relay->messages()) history.messages[message.id] = message;
+      for (const Message& message : relay->messages()) history.messages[key_of(message)] = message;
     }
     for (const auto& partner : partners_) history.add(partner->arrivals());
     history.notices = platform_.notices();
--- a/tools/harness/fault_peers.cpp
+++ b/tools/harness/fault_peers.cpp
@@ -35,9 +35,7 @@
   const unsigned draw = static_cast<unsigned>(random_() % 100);
   ScriptedAnswer answer{delivered, milliseconds(random_() % kMostPauseMs), {}};
   const bool copied = random_() % 100 < copies_.in_100;
-  Arrival& arrival = arrivals_[request.id];
-  arrival.other_body = arrival.other_body || (!arrival.body.empty() && arrival.body != request.body);
-  arrival.body = request.body;
+  Arrival& arrival = arrivals_[{request.id, request.body}];
   if (draw < kTurnedAway) {
     answer.text = turned_away;
   } else {
--- a/tools/harness/fault_plan.cpp
+++ b/tools/harness/fault_plan.cpp
@@ -99,7 +99,8 @@
   return text + "one relay " + std::to_string(plan.relay_gap.count()) +
          " ms behind the other; partners: " + copies_text(plan.partner_copies) +
          "; platform: " + copies_text(plan.platform_copies) + ", " +
-         std::to_string(plan.notices_refused_in_100) + " in 100 batches of notices refused";
+         std::to_string(plan.notices_refused_in_100) + " in 100 batches of notices refused; " +
+         std::to_string(plan.contested_in_100) + " in 100 ids contested";
 }
 
 }  // namespace fennellane::harness
--- a/tools/harness/fault_plan.hpp
+++ b/tools/harness/fault_plan.hpp
@@ -36,8 +36,9 @@
   std::chrono::milliseconds relay_gap{};  // from one relay's faults and end to the next one's
   CopyPlan partner_copies, platform_copies;
   unsigned notices_refused_in_100 = 0;
-  std::uint64_t seed = 1;     // of the load and of the answers
-  bool plants_flaws = false;  // into the histories, for the checker to find
+  unsigned contested_in_100 = 0;  // messages whose id another client uses before their last byte is sent
+  std::uint64_t seed = 1;         // of the load and of the answers
+  bool plants_flaws = false;      // into the histories, for the checker to find
 };
 
 // Drawn from a seed.
--- a/tools/harness/fault_relay.cpp
+++ b/tools/harness/fault_relay.cpp
@@ -82,7 +82,7 @@
   for (std::size_t i = 0; i < kClients; ++i) {
     const std::string name = "r" + std::to_string(setup_.index) + "c" + std::to_string(i);
     const std::uint64_t seed = (setup_.seed * 31 + setup_.index) * 31 + i;
-    clients_.push_back(std::make_unique<FaultClient>(relay_, seed, name));
+    clients_.push_back(std::make_unique<FaultClient>(relay_, seed, name, setup_.contested_in_100));
   }
   for (auto& client : clients_) threads_.emplace_back([&] { client->run(stop_); });
   for (std::size_t i = 0; i < plan_.idle_clients; ++i) idle_.push_back(relay_.connected(idle_io_));
--- a/tools/harness/fault_relay.hpp
+++ b/tools/harness/fault_relay.hpp
@@ -24,6 +24,7 @@
   std::size_t index = 0;  // among so many
   std::size_t relays = 1;
   std::uint64_t seed = 1;             // of the load
+  unsigned contested_in_100 = 0;      // messages
   std::chrono::milliseconds delay{};  // before its faults and its end
 };
 
--- a/tools/rehearse_faults.cpp
+++ b/tools/rehearse_faults.cpp
@@ -152,6 +152,7 @@
   std::string program, library, only;
   std::uint64_t first = 1, count = 50;
   std::size_t at_once = 4;
+  unsigned contested_in_100 = 0;
   bool each = false, shows_log = false;
   LeftOut left_out;
   app.add_option("--program", program, "the relay")->required();
@@ -161,12 +162,18 @@
   app.add_option("--first", first, "the first seed");
   app.add_option("--seeds", count, "how many seeds");
   app.add_option("--at-once", at_once, "runs side by side")->check(CLI::Range(1, 16));
+  app.add_option("--contested", contested_in_100,
+                 "of 100 messages, those whose id another client uses as well")
+      ->check(CLI::Range(0, 100));
   app.add_flag("--log", shows_log, "show the log of a run that was not right");
   app.add_flag("--without-copies", left_out.copies, "no answer comes more than once");
   app.add_flag("--without-rules", left_out.rules, "no system call fails");
   CLI11_PARSE(app, argc, argv);
   std::vector<Run> runs = each ? runs_for_each_error() : runs_of_seeds(first, count);
   std::erase_if(runs, [&](const Run& run) { return run.name.find(only) == std::string::npos; });
-  for (Run& run : runs) leave_out(left_out, run.plan);
+  for (Run& run : runs) {
+    leave_out(left_out, run.plan);
+    run.plan.contested_in_100 = contested_in_100;
+  }
   return play(runs, program, library, at_once, shows_log) == 0 ? 0 : 1;
 }
