A refused id is not counted among the refusals that can turn a release back

Clients that use ids twice, or one bad client at a relay of the first wave, could have turned a sound release back.

Change: such a refusal counts as id_conflicts alone. One function says which counter a refusal belongs to.

--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -17,8 +17,8 @@
   std::uint64_t evicted = 0;             // of these, closed to admit another connection
   std::uint64_t accepted = 0;
   std::uint64_t duplicates = 0;    // a message that is held, or that ended recently
-  std::uint64_t refused = 0;       // 503
-  std::uint64_t id_conflicts = 0;  // of these, another message has the id
+  std::uint64_t refused = 0;       // 503, apart from id conflicts; a release compares it between builds
+  std::uint64_t id_conflicts = 0;  // 503, since another message has the id: a fault of clients
   std::uint64_t malformed = 0;     // any answer other than 200, 202 and 503
   // Upstream.
   std::uint64_t sent = 0;
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -74,14 +74,20 @@
 }
 
 void Reducer::refuse(RequestHandle request, AdmissionOutcome reason) {
-  const bool unknown = reason == AdmissionOutcome::unknown_destination;
-  ++(unknown ? counters_.malformed : counters_.refused);
-  const AdmissionReply reply = unknown ? AdmissionReply::unknown_destination : AdmissionReply::refused;
+  ++refusal_counter(reason);
+  const AdmissionReply reply = reason == AdmissionOutcome::unknown_destination
+                                   ? AdmissionReply::unknown_destination
+                                   : AdmissionReply::refused;
   // A message whose id is taken may be submitted again at once, under another id.
   const Time retry_after = reason == AdmissionOutcome::id_conflict ? Time(0) : refusal_retry_after_;
   emit(SendAnswer{request, reply, retry_after, reason, 0});
 }
 
+std::uint64_t& Reducer::refusal_counter(AdmissionOutcome reason) {
+  if (reason == AdmissionOutcome::unknown_destination) return counters_.malformed;
+  return reason == AdmissionOutcome::id_conflict ? counters_.id_conflicts : counters_.refused;
+}
+
 // `accepted` promises the client that its own message gets its final result, so an id that is known is not
 // enough: the message must be the same.
 void Reducer::on(const MessageSubmitted& submitted) {
@@ -93,10 +99,7 @@
   entry.destination = submitted.destination;
   entry.body = submitted.body;
   if (const MessageFingerprint* known = find_known_message(submitted.id)) {
-    if (*known != fingerprint_of(entry)) {
-      ++counters_.id_conflicts;
-      return refuse(submitted.request, AdmissionOutcome::id_conflict);
-    }
+    if (*known != fingerprint_of(entry)) return refuse(submitted.request, AdmissionOutcome::id_conflict);
     ++counters_.duplicates;
     return emit(
         SendAnswer{submitted.request, AdmissionReply::accepted, Time(0), AdmissionOutcome::duplicate, 0});
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -260,6 +260,7 @@
   // Why a message whose id is unknown is not accepted, or `accepted`.
   AdmissionOutcome check_admission(const MessageSubmitted& submitted) const;
   void refuse(RequestHandle request, AdmissionOutcome reason);
+  std::uint64_t& refusal_counter(AdmissionOutcome reason);
   void accept(const MessageSubmitted& submitted, JournalEntry entry);
   Stream& add_stream(StreamId id, const JournalEntry& entry);
   void give_up(StreamId stream, Verdict verdict, Time retry_after, starlinghook::GiveUpReason reason);
