Upgrade test: ids that the old process knew stay those of their messages

Over processes, half a request is read by the old one and its rest by the new one, and the ids in between are the old one's.

Change: a test of the program through a hot upgrade. Another client uses the id of the half request before the upgrade, and the ids of a call in flight and of a delivered message after it: each gets 503, and each message itself, sent again, 202. Completing the half request is a function of the scenario; its checks are as they were.

--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -118,17 +118,21 @@
   std::size_t calls(const std::string& id) const { return partner_.count(id); }
   pid_t serving() const { return upgrade::read_run_file(relay.state_folder())->pid; }
 
-  // Every message, call and client continues undisturbed.
-  void expect_no_interruption() {
-    EXPECT_EQ(idle_client->ask(kUp), 200u);
+  // Sends the rest of the half request `h1` and returns the status of its answer.
+  unsigned complete_request(unsigned expected_status) {
     mid_request_client->send(request_.substr(request_.size() / 2));
     const unsigned status = mid_request_client->answer();
     // A request must arrive within 2.5 s, across processes: on a slow machine the time may be over.
     const bool in_time = std::chrono::steady_clock::now() - request_began_ < seconds(2);
     if (in_time) {
-      EXPECT_EQ(status, 202u);
+      EXPECT_EQ(status, expected_status);
     }
-    const bool accepted = status == 202;
+    return status;
+  }
+  // Every message, call and client continues undisturbed.
+  void expect_no_interruption() {
+    EXPECT_EQ(idle_client->ask(kUp), 200u);
+    const bool accepted = complete_request(202) == 202;
     if (accepted) {
       EXPECT_TRUE(happens([&] { return calls("h1") == 1; }));
     }
@@ -175,6 +179,24 @@
   EXPECT_EQ(scenario.relay.end(SIGTERM), 0);  // the watcher still represents the relay
 }
 
+// Guards against a message that vanishes: its id was known to the old process as another client's message,
+// and the new process answered 202 for that one.
+TEST(Upgrade, AMessageUnderAnIdThatTheOldProcessKnewIsAcceptedOnlyIfItIsTheSame) {
+  UpgradeScenario scenario;
+  PersistentClient& client = *scenario.idle_client;
+  ASSERT_EQ(client.ask(request_text("h1", "another client's")), 202u);  // before the rest of the half request
+  ASSERT_EQ(scenario.upgrade(), 0) << scenario.relay.log();
+  const bool refused = scenario.complete_request(503) == 503;
+  EXPECT_EQ(client.ask(request_text("p1", "another client's", "pay")), 503u);  // `p1` is in flight
+  EXPECT_EQ(client.ask(request_text("w1", "another client's")), 503u);         // `w1` is delivered
+  EXPECT_EQ(scenario.relay.counter("id_conflicts"), refused ? 3u : 2u);
+  EXPECT_EQ(client.ask(request_text("h1", "another client's")), 202u);
+  EXPECT_EQ(client.ask(request_text("p1", "one", "pay")), 202u);
+  EXPECT_EQ(client.ask(request_text("w1")), 202u);
+  EXPECT_EQ(scenario.relay.counter("repeated"), 3u);
+  EXPECT_TRUE(happens([&] { return scenario.calls("h1") == 1; }));
+}
+
 TEST(Upgrade, ANewProcessThatFailsBeforeItServesChangesNothing) {
   for (const std::string step : {"checking", "accepted", "building", "ready", "serving"}) {
     for (const std::string action : {"exit", "kill"}) {
