Flight record: the names of the field in the account of messages and its report

Change: identifiers and comments alone, no text that `why` prints and no entry of the file: Life is MessageHistory, Fate is MessageResult, CallSeen and StraySeen are CallHistory and StrayBytes, Moment is Timestamp, and so on for their members.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -30,17 +30,13 @@
 constexpr int kBadConfigExitCode = 2;
 constexpr int kNoListenerExitCode = 3;
 
-using fennellane::record::Fate;
-const std::map<std::string, Fate> kFateNames = {{"in-time", Fate::in_time},
-                                                {"late", Fate::late},
-                                                {"withdrawn", Fate::withdrawn},
-                                                {"refused", Fate::refused_admission},
-                                                {"room", Fate::made_room},
-                                                {"time", Fate::no_time},
-                                                {"attempts", Fate::no_attempt},
-                                                {"doubt", Fate::doubtful},
-                                                {"answered-late", Fate::answered_late},
-                                                {"held", Fate::held}};
+using fennellane::record::MessageResult;
+const std::map<std::string, MessageResult> kResultNames = {
+    {"in-time", MessageResult::delivered_in_time},   {"late", MessageResult::delivered_late},
+    {"withdrawn", MessageResult::withdrawn},         {"refused", MessageResult::refused_admission},
+    {"room", MessageResult::given_up_capacity},      {"time", MessageResult::given_up_deadline},
+    {"attempts", MessageResult::given_up_attempts},  {"doubt", MessageResult::given_up_uncertain},
+    {"answered-late", MessageResult::answered_late}, {"held", MessageResult::held}};
 
 // The new side's part of a handover, in a process started to take over from another.
 class RelaySuccessor : public fennellane::upgrade::Successor {
@@ -265,7 +261,7 @@
     }
     const record::Account account(contents);
     if (!options.ended.empty()) {
-      record::print_lives(account, kFateNames.at(options.ended), options.max_listed, std::cout);
+      record::print_messages(account, kResultNames.at(options.ended), options.max_listed, std::cout);
       return 0;
     }
     if (options.id.empty()) {
@@ -344,7 +340,7 @@
   why_command->add_option("--file", options.file, "the record file, if it is elsewhere")
       ->excludes(state_option);
   why_command->add_option("--ended", options.ended, "list the messages that ended this way")
-      ->check(CLI::IsMember(kFateNames));
+      ->check(CLI::IsMember(kResultNames));
   why_command->add_option("--most", options.max_listed, "maximum number of messages listed")
       ->capture_default_str();
   why_command->add_option("--seconds", options.seconds, "number of most recent seconds shown")
--- a/src/record/account.cpp
+++ b/src/record/account.cpp
@@ -11,9 +11,9 @@
 
 namespace {
 
-constexpr Moment kSecond = 1'000'000;
+constexpr Timestamp kSecond = 1'000'000;
 
-// A value of the file's that may be none of ours.
+// An enumerator read from a file, which may hold any value.
 template <class E>
 E bounded(std::uint64_t value, std::size_t count) {
   return static_cast<E>(std::min<std::uint64_t>(value, count - 1));
@@ -21,31 +21,31 @@
 
 }  // namespace
 
-const char* fate_text(Fate fate) {
-  switch (fate) {
-    case Fate::in_time:
+const char* result_text(MessageResult result) {
+  switch (result) {
+    case MessageResult::delivered_in_time:
       return "delivered in time";
-    case Fate::late:
+    case MessageResult::delivered_late:
       return "delivered late";
-    case Fate::withdrawn:
+    case MessageResult::withdrawn:
       return "over elsewhere";
-    case Fate::refused_admission:
+    case MessageResult::refused_admission:
       return "refused at the door";
-    case Fate::made_room:
+    case MessageResult::given_up_capacity:
       return "given up to make room";
-    case Fate::no_time:
+    case MessageResult::given_up_deadline:
       return "given up, as no call would end in time";
-    case Fate::no_attempt:
+    case MessageResult::given_up_attempts:
       return "given up after its last attempt";
-    case Fate::doubtful:
+    case MessageResult::given_up_uncertain:
       return "given up, as it may have run and must not be repeated";
-    case Fate::answered_late:
+    case MessageResult::answered_late:
       return "answered when its time was up";
-    case Fate::lost_class:
+    case MessageResult::class_removed:
       return "given up, as its class is no longer configured";
-    case Fate::answered:
+    case MessageResult::no_message:
       return "no message";
-    case Fate::held:
+    case MessageResult::held:
       return "still held";
   }
   return "";
@@ -84,127 +84,130 @@
 }
 
 Account::Account(const Contents& contents) : legend_(read_legend(contents.legend)) {
-  for (const Entry& e : contents.entries) take(e);
+  for (const Entry& e : contents.entries) add(e);
 }
 
-Second& Account::second(Moment at) {
-  const Moment begin = at / kSecond * kSecond;
-  // Entries come in their order; only a clock that is set back brings an older one.
-  if (seconds_.empty() || begin > seconds_.back().at) seconds_.push_back({.at = begin, .marks = {}});
+Second& Account::second(Timestamp at) {
+  const Timestamp begin = at / kSecond * kSecond;
+  // Entries are in order; one is older than its predecessor only if the clock was set back.
+  if (seconds_.empty() || begin > seconds_.back().at) seconds_.push_back({.at = begin, .events = {}});
   return seconds_.back();
 }
 
-Life& Account::by_stream(const Entry& e) {
-  const auto [it, fresh] = streams_.emplace(e.subject, lives_.size());
-  if (fresh) {
-    lives_.emplace_back();
-    lives_.back().stream = e.subject;
-    lives_.back().began = e.at;
+MessageHistory& Account::history_of(const Entry& e) {
+  const auto [it, added] = streams_.emplace(e.subject, messages_.size());
+  if (added) {
+    messages_.emplace_back();
+    messages_.back().stream = e.subject;
+    messages_.back().started = e.at;
   }
-  return lives_[it->second];
+  return messages_[it->second];
 }
 
-void Account::take(const Entry& e) {
+void Account::add(const Entry& e) {
   Second& s = second(e.at);
-  const auto mark = [&s](const char* text) { s.marks += (s.marks.empty() ? "" : ", ") + std::string(text); };
+  const auto add_event = [&s](const char* text) {
+    s.events += (s.events.empty() ? "" : ", ") + std::string(text);
+  };
   switch (e.kind) {
     case Kind::none:
       return;
     case Kind::began:
-      return mark("a process begins");
+      return add_event("a process begins");
     case Kind::ready:
-      return mark("ready");
+      return add_event("ready");
     case Kind::signalled:
-      return mark(e.code == SIGHUP ? "reloads" : "is to stop");
+      return add_event(e.code == SIGHUP ? "reloads" : "is to stop");
     case Kind::beat:
-      s.late_loop_ms = std::max<std::uint32_t>(s.late_loop_ms, e.code);
+      s.loop_delay_ms = std::max<std::uint32_t>(s.loop_delay_ms, e.code);
       s.held = std::max(s.held, e.n[0]);
       s.calls = std::max(s.calls, e.n[1]);
       s.clients = std::max(s.clients, e.n[2]);
       return;
     case Kind::storage:
-      return mark(e.code == 0 ? "storage writes again" : "storage fails");
+      return add_event(e.code == 0 ? "storage writes again" : "storage fails");
     case Kind::no_place:
       ++s.no_place;
       return;
     case Kind::client: {
       ++close_reasons_[bounded<CloseReason>(e.code, kCloseReasonCount)];
-      asking_.erase(e.subject);
+      pending_requests_.erase(e.subject);
       return;
     }
     case Kind::asked: {
-      ++s.asked;
-      asking_[e.subject] = lives_.size();
-      Life life;
-      life.name = e.name_text();
-      life.message_class = e.code;
-      life.tenant = e.n[0];
-      life.destination = e.n[1];
-      life.left_ms = e.n[2];
-      life.began = e.at;
-      lives_.push_back(std::move(life));
+      ++s.submitted;
+      pending_requests_[e.subject] = messages_.size();
+      MessageHistory message;
+      message.id = e.name_text();
+      message.message_class = e.code;
+      message.tenant = e.n[0];
+      message.destination = e.n[1];
+      message.time_left_ms = e.n[2];
+      message.started = e.at;
+      messages_.push_back(std::move(message));
       return;
     }
     case Kind::answered: {
-      const auto it = asking_.find(e.subject);
-      if (it == asking_.end()) return;  // malformed, or no message
-      Life& life = lives_[it->second];
-      life.admission = bounded<AdmissionOutcome>(e.n[0], kAdmissionOutcomeCount);
-      life.waited_us = e.n[1];
-      if (e.n[1] > kSlowToReadUs) ++s.accepted_late;
-      if (life.admission == AdmissionOutcome::accepted) {
-        ++s.taken;
-        life.stream = e.n[2];
-        streams_[life.stream] = it->second;
-      } else if (life.admission != AdmissionOutcome::duplicate) {
+      const auto it = pending_requests_.find(e.subject);
+      if (it == pending_requests_.end()) return;  // malformed, or no message
+      MessageHistory& message = messages_[it->second];
+      message.admission = bounded<AdmissionOutcome>(e.n[0], kAdmissionOutcomeCount);
+      message.read_delay_us = e.n[1];
+      if (e.n[1] > kLateReadUs) ++s.read_late;
+      if (message.admission == AdmissionOutcome::accepted) {
+        ++s.accepted;
+        message.stream = e.n[2];
+        streams_[message.stream] = it->second;
+      } else if (message.admission != AdmissionOutcome::duplicate) {
         ++s.refused;
       }
-      asking_.erase(it);
+      pending_requests_.erase(it);
       return;
     }
     case Kind::restored: {
       streams_.erase(e.subject);
-      Life& life = by_stream(e);
-      life.name = e.name_text();
-      life.message_class = e.code;
-      life.tenant = e.n[0];
-      life.destination = e.n[1];
-      life.left_ms = e.n[2];
-      life.restored = true;
+      MessageHistory& message = history_of(e);
+      message.id = e.name_text();
+      message.message_class = e.code;
+      message.tenant = e.n[0];
+      message.destination = e.n[1];
+      message.time_left_ms = e.n[2];
+      message.restored = true;
       return;
     }
     case Kind::call:
-      by_stream(e).calls.push_back(
-          {.host = std::string(e.name_text()), .from = e.at, .to = {}, .strays = {}});
+      history_of(e).calls.push_back(
+          {.host = std::string(e.name_text()), .started = e.at, .ended = {}, .strays = {}});
       return;
     case Kind::call_ended: {
-      Life& life = by_stream(e);
-      if (life.calls.empty()) return;
-      CallSeen& call = life.calls.back();
-      call.to = e.at;
+      MessageHistory& message = history_of(e);
+      if (message.calls.empty()) return;
+      CallHistory& call = message.calls.back();
+      call.ended = e.at;
       call.outcome = bounded<Outcome>(e.code, kOutcomeCount);
-      call.told_wait_ms = e.n[1];
+      call.retry_after_ms = e.n[1];
       return;
     }
     case Kind::given_up: {
-      Life& life = by_stream(e);
-      life.given_up = e.at;
-      life.verdict = static_cast<Verdict>(e.code);
-      life.why = bounded<GiveUpReason>(e.n[0], 6);
+      MessageHistory& message = history_of(e);
+      message.given_up = e.at;
+      message.verdict = static_cast<Verdict>(e.code);
+      message.give_up_reason = bounded<GiveUpReason>(e.n[0], 6);
       ++s.given_up;
       return;
     }
     case Kind::ended: {
-      Life& life = by_stream(e);
-      life.ended = e.at;
-      life.end = bounded<End>(e.code, kEnds);
-      if (life.end == End::delivered) ++(fate(life) == Fate::in_time ? s.in_time : s.late);
+      MessageHistory& message = history_of(e);
+      message.ended = e.at;
+      message.end = bounded<End>(e.code, kEnds);
+      if (message.end == End::delivered)
+        ++(result(message) == MessageResult::delivered_in_time ? s.in_time : s.late);
       return;
     }
     case Kind::carried:
-      return take_carried(e);
+      return add_call_connection(e);
     case Kind::stray:
-      return take_stray(e);
+      return add_stray(e);
     case Kind::host_connection:
       ++connection_ends_[bounded<ConnectionEnd>(e.code, kConnectionEnds)];
       return;
@@ -214,70 +217,72 @@
   }
 }
 
-void Account::take_carried(const Entry& e) {
-  Life& life = by_stream(e);
-  if (life.calls.empty()) return;
-  CallSeen& call = life.calls.back();
-  call.nth = e.code;
+void Account::add_call_connection(const Entry& e) {
+  MessageHistory& message = history_of(e);
+  if (message.calls.empty()) return;
+  CallHistory& call = message.calls.back();
+  call.connection_call_number = e.code;
   call.connection = e.n[0];
-  call.asks_close = e.n[1] != 0;
+  call.close_requested = e.n[1] != 0;
 }
 
-void Account::take_stray(const Entry& e) {
+void Account::add_stray(const Entry& e) {
   ++strays_[std::string(e.name_text())];
   if (e.subject == 0) return;
-  Life& life = by_stream(e);
-  if (life.calls.empty()) return;
-  life.calls.back().strays.push_back({e.at, e.code, bounded<StrayPlace>(e.n[1], kStrayPlaces)});
+  MessageHistory& message = history_of(e);
+  if (message.calls.empty()) return;
+  message.calls.back().strays.push_back({e.at, e.code, bounded<StrayPlace>(e.n[1], kStrayPlaces)});
 }
 
-std::vector<const Life*> Account::find(const std::string& name) const {
-  const auto kept = short_name(name);
+std::vector<const MessageHistory*> Account::find(const std::string& id) const {
+  const auto kept = short_name(id);
   const std::string wanted(kept.data(), ::strnlen(kept.data(), kept.size()));
-  std::vector<const Life*> found;
-  for (const Life& life : lives_) {
-    if (life.name == wanted) found.push_back(&life);
+  std::vector<const MessageHistory*> found;
+  for (const MessageHistory& message : messages_) {
+    if (message.id == wanted) found.push_back(&message);
   }
   return found;
 }
 
-Fate Account::fate(const Life& life) const {
-  if (life.given_up) {
-    switch (life.why) {
+MessageResult Account::result(const MessageHistory& message) const {
+  if (message.given_up) {
+    switch (message.give_up_reason) {
       case GiveUpReason::none:
-        return Fate::lost_class;
+        return MessageResult::class_removed;
       case GiveUpReason::capacity:
-        return Fate::made_room;
+        return MessageResult::given_up_capacity;
       case GiveUpReason::deadline:
-        return Fate::no_time;
+        return MessageResult::given_up_deadline;
       case GiveUpReason::attempts:
-        return Fate::no_attempt;
+        return MessageResult::given_up_attempts;
       case GiveUpReason::uncertain:
-        return Fate::doubtful;
+        return MessageResult::given_up_uncertain;
       case GiveUpReason::answered_late:
-        return Fate::answered_late;
+        return MessageResult::answered_late;
     }
   }
-  if (life.ended) {
-    if (life.end == End::withdrawn) return Fate::withdrawn;
-    if (life.message_class >= legend_.classes.size()) return Fate::in_time;
-    // What is not left any more of the most that its class has is the message's age.
-    const ClassLegend& c = legend_.classes[life.message_class];
-    const Time left = std::chrono::milliseconds(life.left_ms);
-    const Time age = std::max(Time(0), c.deadline - left) + Time(*life.ended - life.began);
-    return age > c.aim ? Fate::late : Fate::in_time;
+  if (message.ended) {
+    if (message.end == End::withdrawn) return MessageResult::withdrawn;
+    if (message.message_class >= legend_.classes.size()) return MessageResult::delivered_in_time;
+    // The message's age is the part of its class's deadline that has been used up.
+    const ClassLegend& c = legend_.classes[message.message_class];
+    const Time left = std::chrono::milliseconds(message.time_left_ms);
+    const Time age = std::max(Time(0), c.deadline - left) + Time(*message.ended - message.started);
+    return age > c.aim ? MessageResult::delivered_late : MessageResult::delivered_in_time;
   }
-  if (life.stream != 0) return Fate::held;
-  if (!life.admission) return Fate::answered;
-  return *life.admission == AdmissionOutcome::duplicate ? Fate::answered : Fate::refused_admission;
+  if (message.stream != 0) return MessageResult::held;
+  if (!message.admission) return MessageResult::no_message;
+  return *message.admission == AdmissionOutcome::duplicate ? MessageResult::no_message
+                                                           : MessageResult::refused_admission;
 }
 
-std::map<Outcome, std::size_t> Account::outcomes(std::uint32_t destination, Moment from, Moment to) const {
+std::map<Outcome, std::size_t> Account::outcomes(std::uint32_t destination, Timestamp from,
+                                                 Timestamp to) const {
   std::map<Outcome, std::size_t> found;
-  for (const Life& life : lives_) {
-    if (life.destination != destination) continue;
-    for (const CallSeen& call : life.calls) {
-      if (call.to && *call.to >= from && *call.to <= to) ++found[call.outcome];
+  for (const MessageHistory& message : messages_) {
+    if (message.destination != destination) continue;
+    for (const CallHistory& call : message.calls) {
+      if (call.ended && *call.ended >= from && *call.ended <= to) ++found[call.outcome];
     }
   }
   return found;
--- a/src/record/account.hpp
+++ b/src/record/account.hpp
@@ -1,5 +1,5 @@
-// What a flight record tells: the life of every message in it, and how each ended and why. Neither files nor
-// a clock.
+// Reconstructs from a flight record the history of each message: its calls, how it ended and why. Uses
+// neither files nor a clock.
 #pragma once
 
 #include <cstdint>
@@ -19,107 +19,109 @@
 
 namespace fennellane::record {
 
-// Microseconds since 1970, as all times here.
-using Moment = std::int64_t;
+// Microseconds since 1970.
+using Timestamp = std::int64_t;
 
-// Bytes that answered no call.
-struct StraySeen {
-  Moment at = 0;
-  std::uint16_t status = 0;  // of a whole answer
+// Bytes from a host that were no answer to a call.
+struct StrayBytes {
+  Timestamp at = 0;
+  std::uint16_t status = 0;  // of a complete answer; 0 = none
   StrayPlace place{};
 };
 
-struct CallSeen {
-  std::string host;  // its address, as short_name keeps it
-  Moment from = 0;
-  std::optional<Moment> to;  // none: still out, or its end is not in the record
+struct CallHistory {
+  std::string host;  // address, shortened by short_name
+  Timestamp started = 0;
+  std::optional<Timestamp> ended;  // none: in flight, or the end is not in the record
   starlinghook::Outcome outcome{};
-  std::uint32_t told_wait_ms = 0;
-  std::uint32_t connection = 0;  // 0: none of its bytes went out
-  std::uint16_t nth = 0;         // call of its connection
-  bool asks_close = false;
-  std::vector<StraySeen> strays;
+  std::uint32_t retry_after_ms = 0;
+  std::uint32_t connection = 0;              // 0: no byte of the call was written
+  std::uint16_t connection_call_number = 0;  // among the calls of its connection
+  bool close_requested = false;
+  std::vector<StrayBytes> strays;
 };
 
-struct Life {
-  std::string name;  // of the message, as short_name keeps it; empty: its beginning is not in the record
-  std::uint64_t stream = 0;  // 0: never taken on
+// A request of a client and, if it was accepted, its message; or a message restored from the journal.
+struct MessageHistory {
+  std::string id;            // X-Call-Id, shortened by short_name; empty: the beginning is not in the record
+  std::uint64_t stream = 0;  // 0: not accepted
   std::uint16_t message_class = 0;
   std::uint32_t tenant = 0;
   std::uint32_t destination = 0;
-  std::uint32_t left_ms = 0;  // of its time, when it was asked or read back
-  Moment began = 0;
-  bool restored = false;                   // from the journal, in an earlier life of the relay
-  std::optional<std::uint32_t> waited_us;  // its last byte, before it was read
+  std::uint32_t time_left_ms = 0;              // until its deadline, when it was submitted or restored
+  Timestamp started = 0;                       // when it was submitted or restored
+  bool restored = false;                       // from the journal of a previous process
+  std::optional<std::uint32_t> read_delay_us;  // from the arrival of the last byte to the answer
   std::optional<AdmissionOutcome> admission;
-  std::vector<CallSeen> calls;
-  std::optional<Moment> given_up;
+  std::vector<CallHistory> calls;
+  std::optional<Timestamp> given_up;
   Verdict verdict{};
-  starlinghook::GiveUpReason why{};
-  std::optional<Moment> ended;
+  starlinghook::GiveUpReason give_up_reason{};
+  std::optional<Timestamp> ended;
   End end{};
 };
 
-// In one word how it stands with a life.
-enum class Fate {
-  in_time,    // delivered within its class's aim, counted from when its client handed it in first
-  late,       // delivered after it
-  withdrawn,  // over elsewhere
+// The final result of a request or message, or its present state.
+enum class MessageResult {
+  delivered_in_time,  // within its class's aim, counted from the client's first submission
+  delivered_late,     // after it
+  withdrawn,          // ended elsewhere
   refused_admission,
-  made_room,  // given up for others
-  no_time,
-  no_attempt,     // all used up
-  doubtful,       // may have run and must not be repeated
-  answered_late,  // by a host, when its time was up
-  lost_class,     // given up since the configuration has lost its class
-  answered,       // no message: /up, an id that is held already
+  given_up_capacity,  // in favour of other messages
+  given_up_deadline,
+  given_up_attempts,
+  given_up_uncertain,  // may have run and must not be repeated
+  answered_late,       // the host's answer came after the deadline
+  class_removed,       // given up since its class is no longer configured
+  no_message,          // a request that submitted none, such as /up or a duplicate
   held,
 };
-const char* fate_text(Fate fate);
+const char* result_text(MessageResult result);
 const char* admission_text(AdmissionOutcome admission);
 
 struct Second {
-  Moment at = 0;  // its beginning
-  std::uint32_t asked = 0, taken = 0, refused = 0, given_up = 0, in_time = 0, late = 0;
-  std::uint32_t accepted_late = 0;  // read more than kSlowToRead after their last byte
-  std::uint32_t no_place = 0;       // clients that could not be accepted at once
-  // At its beat; the most where there are several.
-  std::uint32_t held = 0, calls = 0, clients = 0, late_loop_ms = 0;
-  std::string marks;  // began, ready, stopping, reloaded
+  Timestamp at = 0;  // when it begins
+  std::uint32_t submitted = 0, accepted = 0, refused = 0, given_up = 0, in_time = 0, late = 0;
+  std::uint32_t read_late = 0;  // requests answered more than kLateReadUs after their last byte arrived
+  std::uint32_t no_place = 0;   // clients that could not be accepted at once
+  // At the heartbeat; the maximum if there are several.
+  std::uint32_t held = 0, calls = 0, clients = 0, loop_delay_ms = 0;
+  std::string events;  // of the process, such as its start and reloads
 };
-constexpr std::uint32_t kSlowToReadUs = 100'000;
+constexpr std::uint32_t kLateReadUs = 100'000;
 
 class Account {
  public:
   explicit Account(const Contents& contents);
 
   const Legend& legend() const { return legend_; }
-  const std::vector<Life>& lives() const { return lives_; }
+  const std::vector<MessageHistory>& messages() const { return messages_; }
   const std::vector<Second>& seconds() const { return seconds_; }
-  // All under that name, in the order of the record: a request may be sent again, a message be read back by
-  // the next process, and clients may use one id for several messages.
-  std::vector<const Life*> find(const std::string& name) const;
-  Fate fate(const Life& life) const;
-  // Calls to a destination that ended within a span, by outcome.
-  std::map<starlinghook::Outcome, std::size_t> outcomes(std::uint32_t destination, Moment from,
-                                                        Moment to) const;
-  // How clients' connections ended.
+  // All with this X-Call-Id, in the order of the record: a request may be sent again, the next process may
+  // restore the message, and clients may use one id for several messages.
+  std::vector<const MessageHistory*> find(const std::string& id) const;
+  MessageResult result(const MessageHistory& message) const;
+  // Number of calls to a destination that ended in the interval, by outcome.
+  std::map<starlinghook::Outcome, std::size_t> outcomes(std::uint32_t destination, Timestamp from,
+                                                        Timestamp to) const;
+  // Number of clients' connections that ended, by reason.
   const std::map<CloseReason, std::size_t>& close_reasons() const { return close_reasons_; }
-  // How those to hosts ended, and how often bytes came from each address that answered no call.
+  // The same for connections to hosts, and the number of stray bytes' occurrences by address.
   const std::map<ConnectionEnd, std::size_t>& connection_ends() const { return connection_ends_; }
   const std::map<std::string, std::size_t>& strays() const { return strays_; }
 
  private:
-  void take(const Entry& e);
-  void take_carried(const Entry& e);
-  void take_stray(const Entry& e);
-  Life& by_stream(const Entry& e);
-  Second& second(Moment at);
+  void add(const Entry& e);
+  void add_call_connection(const Entry& e);
+  void add_stray(const Entry& e);
+  // Of the entry's stream; added if it is not known.
+  MessageHistory& history_of(const Entry& e);
+  Second& second(Timestamp at);
 
   Legend legend_;
-  std::vector<Life> lives_;
+  std::vector<MessageHistory> messages_;
   std::vector<Second> seconds_;
-  std::unordered_map<std::uint64_t, std::size_t> asking_;  // by connection
+  std::unordered_map<std::uint64_t, std::size_t> pending_requests_;  // by connection
   std::unordered_map<std::uint64_t, std::size_t> streams_;
   std::map<CloseReason, std::size_t> close_reasons_;
   std::map<ConnectionEnd, std::size_t> connection_ends_;
--- a/src/record/report.cpp
+++ b/src/record/report.cpp
@@ -35,7 +35,7 @@
   return text;
 }
 
-std::string clock_text(Moment at) {
+std::string clock_text(Timestamp at) {
   const std::time_t whole = at / 1'000'000;
   std::tm parts{};
   ::gmtime_r(&whole, &parts);
@@ -52,25 +52,25 @@
   return position < tenants.size() ? tenants[position] : "tenant " + std::to_string(position);
 }
 
-// Columns: messages, delivered in time, late, refused at the door, given up, else.
-struct Row {
-  std::size_t all = 0, in_time = 0, late = 0, not_admitted = 0, given_up = 0, held = 0;
-  void add(Fate fate) {
-    if (fate == Fate::answered) return;
+// Numbers of messages by their result.
+struct ResultCounts {
+  std::size_t all = 0, in_time = 0, late = 0, refused = 0, given_up = 0, other = 0;
+  void add(MessageResult result) {
+    if (result == MessageResult::no_message) return;
     ++all;
-    switch (fate) {
-      case Fate::in_time:
+    switch (result) {
+      case MessageResult::delivered_in_time:
         ++in_time;
         break;
-      case Fate::late:
+      case MessageResult::delivered_late:
         ++late;
         break;
-      case Fate::refused_admission:
-        ++not_admitted;
+      case MessageResult::refused_admission:
+        ++refused;
         break;
-      case Fate::held:
-      case Fate::withdrawn:
-        ++held;
+      case MessageResult::held:
+      case MessageResult::withdrawn:
+        ++other;
         break;
       default:
         ++given_up;
@@ -79,37 +79,38 @@
 };
 
 template <class Key>
-void print_rows(const char* title, const std::map<Key, Row>& rows, std::ostream& out) {
+void print_rows(const char* title, const std::map<Key, ResultCounts>& rows, std::ostream& out) {
   constexpr std::size_t kMost = 20;
-  std::vector<std::pair<Key, Row>> sorted(rows.begin(), rows.end());
+  std::vector<std::pair<Key, ResultCounts>> sorted(rows.begin(), rows.end());
   std::stable_sort(sorted.begin(), sorted.end(),
                    [](const auto& a, const auto& b) { return a.second.all > b.second.all; });
   out << format("\n%-24s %8s %8s %8s %8s %8s %8s\n", title, "asked", "in time", "late", "at door", "given up",
                 "other");
   for (std::size_t i = 0; i < std::min(kMost, sorted.size()); ++i) {
-    const Row& r = sorted[i].second;
+    const ResultCounts& r = sorted[i].second;
     out << format("%-24.24s %8zu %8zu %8zu %8zu %8zu %8zu\n", std::string(sorted[i].first).c_str(), r.all,
-                  r.in_time, r.late, r.not_admitted, r.given_up, r.held);
+                  r.in_time, r.late, r.refused, r.given_up, r.other);
   }
   if (sorted.size() > kMost) out << "and " << sorted.size() - kMost << " more\n";
 }
 
 void print_causes(const Account& account, std::ostream& out) {
-  std::map<std::string, std::pair<std::size_t, std::size_t>> causes;  // text to count, waited long
-  for (const Life& life : account.lives()) {
-    const Fate fate = account.fate(life);
-    if (fate == Fate::answered) continue;
-    std::string text = fate_text(fate);
-    if (fate == Fate::refused_admission) text += std::string(": ") + admission_text(*life.admission);
-    auto& [count, slow] = causes[text];
+  std::map<std::string, std::pair<std::size_t, std::size_t>> causes;  // by text: all, read late
+  for (const MessageHistory& message : account.messages()) {
+    const MessageResult result = account.result(message);
+    if (result == MessageResult::no_message) continue;
+    std::string text = result_text(result);
+    if (result == MessageResult::refused_admission)
+      text += std::string(": ") + admission_text(*message.admission);
+    auto& [count, read_late] = causes[text];
     ++count;
-    if (life.waited_us && *life.waited_us > kSlowToReadUs) ++slow;
+    if (message.read_delay_us && *message.read_delay_us > kLateReadUs) ++read_late;
   }
   out << format("%-64s %8s %12s\n", "how messages ended", "count", "read late");
   for (const auto& [text, counts] : causes) {
     out << format("%-64.64s %8zu %12zu\n", text.c_str(), counts.first, counts.second);
   }
-  out << "(read late: over " << kSlowToReadUs / 1000 << " ms after the request's last byte had come)\n";
+  out << "(read late: over " << kLateReadUs / 1000 << " ms after the request's last byte had come)\n";
 }
 
 void print_seconds(const Account& account, std::size_t most, std::ostream& out) {
@@ -121,9 +122,9 @@
   for (std::size_t i = first; i < seconds.size(); ++i) {
     const Second& s = seconds[i];
     out << format("%-9s %6u %6u %7u %7u %7u %5u %5u %5u %7u %6u %7u %6u",
-                  clock_text(s.at).substr(0, 8).c_str(), s.asked, s.taken, s.refused, s.given_up, s.in_time,
-                  s.late, s.held, s.calls, s.clients, s.accepted_late, s.no_place, s.late_loop_ms);
-    out << (s.marks.empty() ? "" : "  " + s.marks) << '\n';
+                  clock_text(s.at).substr(0, 8).c_str(), s.submitted, s.accepted, s.refused, s.given_up,
+                  s.in_time, s.late, s.held, s.calls, s.clients, s.read_late, s.no_place, s.loop_delay_ms);
+    out << (s.events.empty() ? "" : "  " + s.events) << '\n';
   }
 }
 
@@ -136,59 +137,62 @@
   return text.empty() ? "none" : text;
 }
 
-void print_request(const Account& account, const Life& life, std::ostream& out) {
-  out << clock_text(life.began) << "  " << (life.restored ? "read back from the journal" : "asked") << ": "
-      << class_name(account, life.message_class) << " of " << tenant_name(account, life.tenant)
-      << " to destination " << life.destination << ", " << life.left_ms << " ms left";
-  if (life.waited_us) out << ", read " << *life.waited_us / 1000 << " ms after its last byte";
+void print_request(const Account& account, const MessageHistory& message, std::ostream& out) {
+  out << clock_text(message.started) << "  " << (message.restored ? "read back from the journal" : "asked")
+      << ": " << class_name(account, message.message_class) << " of " << tenant_name(account, message.tenant)
+      << " to destination " << message.destination << ", " << message.time_left_ms << " ms left";
+  if (message.read_delay_us) out << ", read " << *message.read_delay_us / 1000 << " ms after its last byte";
   out << '\n';
-  if (life.admission)
-    out << clock_text(life.began) << "  at the door: " << admission_text(*life.admission) << '\n';
+  if (message.admission)
+    out << clock_text(message.started) << "  at the door: " << admission_text(*message.admission) << '\n';
 }
 
-void print_call(const CallSeen& call, std::ostream& out) {
-  out << clock_text(call.from) << "  call to " << call.host << ": ";
-  if (!call.to) {
+void print_call(const CallHistory& call, std::ostream& out) {
+  out << clock_text(call.started) << "  call to " << call.host << ": ";
+  if (!call.ended) {
     out << "no end in the record\n";
     return;
   }
-  out << kOutcomeTexts[static_cast<std::size_t>(call.outcome)] << " after " << (*call.to - call.from) / 1000
-      << " ms";
-  if (call.told_wait_ms > 0) out << ", told to wait " << call.told_wait_ms << " ms";
+  out << kOutcomeTexts[static_cast<std::size_t>(call.outcome)] << " after "
+      << (*call.ended - call.started) / 1000 << " ms";
+  if (call.retry_after_ms > 0) out << ", told to wait " << call.retry_after_ms << " ms";
   if (call.connection != 0) {
-    out << ", call " << call.nth << " of connection " << call.connection
-        << (call.asks_close ? ", asking for its close" : "");
+    out << ", call " << call.connection_call_number << " of connection " << call.connection
+        << (call.close_requested ? ", asking for its close" : "");
   }
   out << '\n';
-  for (const StraySeen& stray : call.strays) {
+  for (const StrayBytes& stray : call.strays) {
     out << clock_text(stray.at) << "    passed over: "
         << (stray.status == 0 ? std::string("bytes") : "an answer " + std::to_string(stray.status))
         << " that belongs to no call, " << kStrayPlaceTexts[static_cast<std::size_t>(stray.place)] << '\n';
   }
 }
 
-void print_end(const Account& account, const Life& life, std::ostream& out) {
-  const Moment end = life.given_up ? *life.given_up : life.ended ? *life.ended : account.seconds().back().at;
-  if (life.given_up) {
-    out << clock_text(*life.given_up) << "  given up as "
-        << (life.verdict == Verdict::deferred ? "deferred" : "undeliverable") << '\n';
+void print_end(const Account& account, const MessageHistory& message, std::ostream& out) {
+  const Timestamp end = message.given_up ? *message.given_up
+                        : message.ended  ? *message.ended
+                                         : account.seconds().back().at;
+  if (message.given_up) {
+    out << clock_text(*message.given_up) << "  given up as "
+        << (message.verdict == Verdict::deferred ? "deferred" : "undeliverable") << '\n';
   }
-  if (life.ended) {
-    out << clock_text(*life.ended) << "  "
-        << (life.end == End::noticed ? "the platform has taken its notice" : "ended") << '\n';
+  if (message.ended) {
+    out << clock_text(*message.ended) << "  "
+        << (message.end == End::noticed ? "the platform has taken its notice" : "ended") << '\n';
   }
-  out << "calls to destination " << life.destination
-      << " meanwhile: " << outcome_counts(account.outcomes(life.destination, life.began, end)) << '\n';
-  const Fate fate = account.fate(life);
-  out << fate_text(fate);
-  if (fate == Fate::refused_admission) out << ": " << admission_text(*life.admission);
+  out << "calls to destination " << message.destination
+      << " meanwhile: " << outcome_counts(account.outcomes(message.destination, message.started, end))
+      << '\n';
+  const MessageResult result = account.result(message);
+  out << result_text(result);
+  if (result == MessageResult::refused_admission) out << ": " << admission_text(*message.admission);
   out << '\n';
 }
 
-void print_life(const Account& account, const Life& life, std::ostream& out) {
-  print_request(account, life, out);
-  for (const CallSeen& call : life.calls) print_call(call, out);
-  print_end(account, life, out);
+void print_history(const Account& account, const MessageHistory& message, std::ostream& out) {
+  print_request(account, message, out);
+  for (const CallHistory& call : message.calls) print_call(call, out);
+  print_end(account, message, out);
 }
 
 }  // namespace
@@ -201,13 +205,13 @@
   out << account.legend().relay << ", from " << clock_text(account.seconds().front().at) << " to "
       << clock_text(account.seconds().back().at) << " UTC\n\n";
   print_causes(account, out);
-  std::map<std::string, Row> classes, tenants, destinations;
-  for (const Life& life : account.lives()) {
-    const Fate fate = account.fate(life);
-    if (fate == Fate::answered) continue;
-    classes[class_name(account, life.message_class)].add(fate);
-    tenants[tenant_name(account, life.tenant)].add(fate);
-    destinations[std::to_string(life.destination)].add(fate);
+  std::map<std::string, ResultCounts> classes, tenants, destinations;
+  for (const MessageHistory& message : account.messages()) {
+    const MessageResult result = account.result(message);
+    if (result == MessageResult::no_message) continue;
+    classes[class_name(account, message.message_class)].add(result);
+    tenants[tenant_name(account, message.tenant)].add(result);
+    destinations[std::to_string(message.destination)].add(result);
   }
   print_rows("class", classes, out);
   print_rows("tenant", tenants, out);
@@ -227,27 +231,27 @@
   print_seconds(account, most_seconds, out);
 }
 
-bool print_message(const Account& account, const std::string& name, std::size_t most, std::ostream& out) {
-  const std::vector<const Life*> lives = account.find(name);
-  const std::size_t first = lives.size() > most ? lives.size() - most : 0;
-  if (first > 0) out << "the newest " << most << " of " << lives.size() << " under this id\n\n";
-  for (std::size_t i = first; i < lives.size(); ++i) {
+bool print_message(const Account& account, const std::string& id, std::size_t most, std::ostream& out) {
+  const std::vector<const MessageHistory*> messages = account.find(id);
+  const std::size_t first = messages.size() > most ? messages.size() - most : 0;
+  if (first > 0) out << "the newest " << most << " of " << messages.size() << " under this id\n\n";
+  for (std::size_t i = first; i < messages.size(); ++i) {
     if (i > first) out << '\n';
-    print_life(account, *lives[i], out);
+    print_history(account, *messages[i], out);
   }
-  return !lives.empty();
+  return !messages.empty();
 }
 
-void print_lives(const Account& account, Fate fate, std::size_t most, std::ostream& out) {
-  std::vector<const Life*> found;
-  for (const Life& life : account.lives()) {
-    if (account.fate(life) == fate && !life.name.empty()) found.push_back(&life);
+void print_messages(const Account& account, MessageResult result, std::size_t most, std::ostream& out) {
+  std::vector<const MessageHistory*> found;
+  for (const MessageHistory& message : account.messages()) {
+    if (account.result(message) == result && !message.id.empty()) found.push_back(&message);
   }
   for (std::size_t i = found.size() > most ? found.size() - most : 0; i < found.size(); ++i) {
-    const Life& l = *found[i];
-    out << clock_text(l.began) << "  " << l.name << "  " << class_name(account, l.message_class) << "  "
-        << tenant_name(account, l.tenant) << "  destination " << l.destination << "  " << l.calls.size()
-        << " calls\n";
+    const MessageHistory& message = *found[i];
+    out << clock_text(message.started) << "  " << message.id << "  "
+        << class_name(account, message.message_class) << "  " << tenant_name(account, message.tenant)
+        << "  destination " << message.destination << "  " << message.calls.size() << " calls\n";
   }
 }
 
