Flight record: the reading of entries in one function for each kind of entry

Need: Account::add, 100 lines, handled every kind of entry in one switch, and read the fields of submitted and of restored messages in two places.

Change: the switch names a function for each kind with more than a step; set_submission reads the fields that both have. What `why` prints is the same.

--- a/src/record/account.cpp
+++ b/src/record/account.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Timestamp kSecond = 1'000'000;
+constexpr std::size_t kGiveUpReasonCount = 6;  // enumerators of starlinghook::GiveUpReason
 
 // An enumerator read from a file, which may hold any value.
 template <class E>
@@ -19,6 +20,26 @@
   return static_cast<E>(std::min<std::uint64_t>(value, count - 1));
 }
 
+void add_event(Second& second, const char* text) {
+  second.events += (second.events.empty() ? "" : ", ") + std::string(text);
+}
+
+void add_heartbeat(Second& second, const Entry& e) {
+  second.loop_delay_ms = std::max<std::uint32_t>(second.loop_delay_ms, e.code);
+  second.held = std::max(second.held, e.n[0]);
+  second.calls = std::max(second.calls, e.n[1]);
+  second.clients = std::max(second.clients, e.n[2]);
+}
+
+// What entries of submitted and of restored messages have in common.
+void set_submission(MessageHistory& message, const Entry& e) {
+  message.id = e.name_text();
+  message.message_class = e.code;
+  message.tenant = e.n[0];
+  message.destination = e.n[1];
+  message.time_left_ms = e.n[2];
+}
+
 }  // namespace
 
 const char* result_text(MessageResult result) {
@@ -106,104 +127,46 @@
 
 void Account::add(const Entry& e) {
   Second& s = second(e.at);
-  const auto add_event = [&s](const char* text) {
-    s.events += (s.events.empty() ? "" : ", ") + std::string(text);
-  };
   switch (e.kind) {
     case Kind::none:
+    case Kind::load:
+    case Kind::host:
       return;
     case Kind::began:
-      return add_event("a process begins");
+      return add_event(s, "a process begins");
     case Kind::ready:
-      return add_event("ready");
+      return add_event(s, "ready");
     case Kind::signalled:
-      return add_event(e.code == SIGHUP ? "reloads" : "is to stop");
-    case Kind::beat:
-      s.loop_delay_ms = std::max<std::uint32_t>(s.loop_delay_ms, e.code);
-      s.held = std::max(s.held, e.n[0]);
-      s.calls = std::max(s.calls, e.n[1]);
-      s.clients = std::max(s.clients, e.n[2]);
-      return;
+      return add_event(s, e.code == SIGHUP ? "reloads" : "is to stop");
     case Kind::storage:
-      return add_event(e.code == 0 ? "storage writes again" : "storage fails");
+      return add_event(s, e.code == 0 ? "storage writes again" : "storage fails");
+    case Kind::beat:
+      return add_heartbeat(s, e);
     case Kind::no_place:
       ++s.no_place;
       return;
-    case Kind::client: {
+    case Kind::client:
       ++close_reasons_[bounded<CloseReason>(e.code, kCloseReasonCount)];
       pending_requests_.erase(e.subject);
       return;
-    }
-    case Kind::asked: {
+    case Kind::asked:
       ++s.submitted;
-      pending_requests_[e.subject] = messages_.size();
-      MessageHistory message;
-      message.id = e.name_text();
-      message.message_class = e.code;
-      message.tenant = e.n[0];
-      message.destination = e.n[1];
-      message.time_left_ms = e.n[2];
-      message.started = e.at;
-      messages_.push_back(std::move(message));
-      return;
-    }
-    case Kind::answered: {
-      const auto it = pending_requests_.find(e.subject);
-      if (it == pending_requests_.end()) return;  // malformed, or no message
-      MessageHistory& message = messages_[it->second];
-      message.admission = bounded<AdmissionOutcome>(e.n[0], kAdmissionOutcomeCount);
-      message.read_delay_us = e.n[1];
-      if (e.n[1] > kLateReadUs) ++s.read_late;
-      if (message.admission == AdmissionOutcome::accepted) {
-        ++s.accepted;
-        message.stream = e.n[2];
-        streams_[message.stream] = it->second;
-      } else if (message.admission != AdmissionOutcome::duplicate) {
-        ++s.refused;
-      }
-      pending_requests_.erase(it);
-      return;
-    }
-    case Kind::restored: {
-      streams_.erase(e.subject);
-      MessageHistory& message = history_of(e);
-      message.id = e.name_text();
-      message.message_class = e.code;
-      message.tenant = e.n[0];
-      message.destination = e.n[1];
-      message.time_left_ms = e.n[2];
-      message.restored = true;
-      return;
-    }
+      return add_request(e);
+    case Kind::answered:
+      return add_answer(s, e);
+    case Kind::restored:
+      return add_restored(e);
     case Kind::call:
       history_of(e).calls.push_back(
           {.host = std::string(e.name_text()), .started = e.at, .ended = {}, .strays = {}});
       return;
-    case Kind::call_ended: {
-      MessageHistory& message = history_of(e);
-      if (message.calls.empty()) return;
-      CallHistory& call = message.calls.back();
-      call.ended = e.at;
-      call.outcome = bounded<Outcome>(e.code, kOutcomeCount);
-      call.retry_after_ms = e.n[1];
-      return;
-    }
-    case Kind::given_up: {
-      MessageHistory& message = history_of(e);
-      message.given_up = e.at;
-      message.verdict = static_cast<Verdict>(e.code);
-      message.give_up_reason = bounded<GiveUpReason>(e.n[0], 6);
+    case Kind::call_ended:
+      return add_call_end(e);
+    case Kind::given_up:
       ++s.given_up;
-      return;
-    }
-    case Kind::ended: {
-      MessageHistory& message = history_of(e);
-      message.ended = e.at;
-      message.end = bounded<End>(e.code, kEnds);
-      if (message.end == End::delivered)
-        ++(result(message) == MessageResult::delivered_in_time ? s.in_time : s.late);
-      return;
-    }
+      return add_give_up(e);
+    case Kind::ended:
+      return add_end(s, e);
     case Kind::carried:
       return add_call_connection(e);
     case Kind::stray:
@@ -211,12 +174,64 @@
     case Kind::host_connection:
       ++connection_ends_[bounded<ConnectionEnd>(e.code, kConnectionEnds)];
       return;
-    case Kind::load:
-    case Kind::host:
-      return;
   }
 }
 
+void Account::add_request(const Entry& e) {
+  pending_requests_[e.subject] = messages_.size();
+  MessageHistory& message = messages_.emplace_back();
+  message.started = e.at;
+  set_submission(message, e);
+}
+
+void Account::add_answer(Second& s, const Entry& e) {
+  const auto it = pending_requests_.find(e.subject);
+  if (it == pending_requests_.end()) return;  // malformed, or no message
+  MessageHistory& message = messages_[it->second];
+  message.admission = bounded<AdmissionOutcome>(e.n[0], kAdmissionOutcomeCount);
+  message.read_delay_us = e.n[1];
+  if (e.n[1] > kLateReadUs) ++s.read_late;
+  if (message.admission == AdmissionOutcome::accepted) {
+    ++s.accepted;
+    message.stream = e.n[2];
+    streams_[message.stream] = it->second;
+  } else if (message.admission != AdmissionOutcome::duplicate) {
+    ++s.refused;
+  }
+  pending_requests_.erase(it);
+}
+
+void Account::add_restored(const Entry& e) {
+  streams_.erase(e.subject);
+  MessageHistory& message = history_of(e);
+  set_submission(message, e);
+  message.restored = true;
+}
+
+void Account::add_call_end(const Entry& e) {
+  MessageHistory& message = history_of(e);
+  if (message.calls.empty()) return;
+  CallHistory& call = message.calls.back();
+  call.ended = e.at;
+  call.outcome = bounded<Outcome>(e.code, kOutcomeCount);
+  call.retry_after_ms = e.n[1];
+}
+
+void Account::add_give_up(const Entry& e) {
+  MessageHistory& message = history_of(e);
+  message.given_up = e.at;
+  message.verdict = static_cast<Verdict>(e.code);
+  message.give_up_reason = bounded<GiveUpReason>(e.n[0], kGiveUpReasonCount);
+}
+
+void Account::add_end(Second& s, const Entry& e) {
+  MessageHistory& message = history_of(e);
+  message.ended = e.at;
+  message.end = bounded<End>(e.code, kEnds);
+  if (message.end == End::delivered)
+    ++(result(message) == MessageResult::delivered_in_time ? s.in_time : s.late);
+}
+
 void Account::add_call_connection(const Entry& e) {
   MessageHistory& message = history_of(e);
   if (message.calls.empty()) return;
--- a/src/record/account.hpp
+++ b/src/record/account.hpp
@@ -112,6 +112,12 @@
 
  private:
   void add(const Entry& e);
+  void add_request(const Entry& e);
+  void add_answer(Second& s, const Entry& e);
+  void add_restored(const Entry& e);
+  void add_call_end(const Entry& e);
+  void add_give_up(const Entry& e);
+  void add_end(Second& s, const Entry& e);
   void add_call_connection(const Entry& e);
   void add_stray(const Entry& e);
   // Of the entry's stream; added if it is not known.
