Discovery: overlapping attempts, so that a return or a slow answer is heard in time

What callers saw (incident c2eb73): new work at a draining host 1.61, 1.68 and 1.76 s after discovery had told of the drain, against a grace of 1 s.

Cause: Discovery::run had one connection at a time, gave each 1.5 s to begin its answer, and paused 0.2 to 3 s between two. A return during a pause was heard at its end; a slow answer was given up, and the next attempt began from nothing.

Change: DiscoveryPlan, a state machine without clock or I/O, decides on attempts. They overlap: a new one begins after each interval, some are kept for 5.4 s, and the first line on any ends the others; a silent watch is kept until another is answered. New log lines: heard, not heard any more and why, each list.

--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -42,6 +42,7 @@
   add("local_retries", c.local_retries);
   add("lists", c.host_lists);
   add("discovery_connects", c.discovery_connects);
+  add("discovery_losses", c.discovery_losses);
   add("reloads", c.reloads);
   add("unnoticed", c.ended_without_notice);
   add("consul.queries", c.consul_queries);
--- a/src/core/limits.hpp
+++ b/src/core/limits.hpp
@@ -11,6 +11,20 @@
 
 using Time = std::chrono::microseconds;  // a point on the steady clock, or a duration
 
+// Times of the client of discovery; see src/platform/discovery_plan.hpp.
+struct DiscoveryTiming {
+  // Between the starts of two attempts while nothing is heard: for a discovery that has not answered yet, and
+  // the range for one that has, by how long it took. A random part of the jitter is added.
+  Time first_interval{}, interval_min{}, interval_max{}, interval_jitter{};
+  // At least one attempt begun in each such span is kept until the timeout.
+  Time patient_interval{};
+  Time attempt_timeout{};
+  Time answer_silence{};  // between two parts of a full list
+  Time watch_silence{};   // discovery sends an empty line every 2 s
+  // After an attempt that has failed, randomized by a factor of 0.5 to 1.5.
+  Time retry_min{}, retry_max{};
+};
+
 struct Limits {
   // Sizes, in bytes.
   std::size_t max_body_size = 64 * kKiB;
@@ -89,20 +103,38 @@
   Time notice_retry_max = std::chrono::milliseconds(100);
   Time agent_write_timeout = std::chrono::seconds(2);  // for the Consul agent's answer to a write
   Time agent_read_timeout = std::chrono::seconds(3);   // for its answer to a read
-  // A change counts as known 6 s after discovery had it and was reachable, whatever call failed before. The
-  // longest step that may have begun just before that (a connect, an answer, a silence), the longest pause
-  // after it and a successful call must therefore fit in 6 s together.
-  Time discovery_connect_timeout = std::chrono::milliseconds(1500);
-  Time discovery_answer_timeout = std::chrono::milliseconds(1500);  // between two parts of an answer
-  Time discovery_list_timeout = std::chrono::seconds(3);  // a complete list, from first to last byte
-  // discovery sends an empty line every 2 s
-  Time discovery_silence_timeout = std::chrono::milliseconds(3200);
+  // An agent on the relay's own machine: what it has counts as told, and asking it costs nothing.
+  DiscoveryTiming pushed_discovery{.first_interval = std::chrono::milliseconds(900),
+                                   .interval_min = std::chrono::milliseconds(200),
+                                   .interval_max = std::chrono::milliseconds(2400),
+                                   .interval_jitter = Time(0),
+                                   .patient_interval = std::chrono::milliseconds(900),
+                                   .attempt_timeout = std::chrono::milliseconds(5400),
+                                   .answer_silence = std::chrono::seconds(1),
+                                   .watch_silence = std::chrono::milliseconds(2300),
+                                   .retry_min = std::chrono::milliseconds(200),
+                                   .retry_max = std::chrono::milliseconds(400)};
+  // One service for all relays, which many of them asking at once could overload.
+  DiscoveryTiming asked_discovery{.first_interval = std::chrono::milliseconds(2400),
+                                  .interval_min = std::chrono::milliseconds(2400),
+                                  .interval_max = std::chrono::milliseconds(2400),
+                                  .interval_jitter = std::chrono::milliseconds(600),
+                                  .patient_interval = Time(0),
+                                  .attempt_timeout = std::chrono::milliseconds(5400),
+                                  .answer_silence = std::chrono::milliseconds(1500),
+                                  .watch_silence = std::chrono::seconds(3),
+                                  .retry_min = std::chrono::milliseconds(400),
+                                  .retry_max = std::chrono::seconds(2)};
+  // Not known which of these: as an agent, but after failures as a service.
+  DiscoveryTiming unknown_discovery = [this] {
+    DiscoveryTiming timing = pushed_discovery;
+    timing.retry_min = asked_discovery.retry_min;
+    timing.retry_max = asked_discovery.retry_max;
+    return timing;
+  }();
   Time backoff_min = std::chrono::milliseconds(50);
   Time backoff_max = std::chrono::seconds(1);
-  // Between connection attempts to discovery, randomized by a factor of 0.5 to 1.5. Without the delay, many
-  // relays retrying at once could overload a discovery service that is short of capacity.
-  Time discovery_backoff_min = std::chrono::milliseconds(400);
-  Time discovery_backoff_max = std::chrono::seconds(2);
+  Time discovery_log_interval = std::chrono::milliseconds(500);  // between two log lines of one kind
   // for a previous process to release the lock on the state folder
   Time lock_timeout = std::chrono::seconds(2);
   // how often the event loop's lag is measured
--- a/src/platform/discovery.hpp
+++ b/src/platform/discovery.hpp
@@ -1,11 +1,12 @@
-// Keeps the cluster's host list up to date: fetches the full list once, then watches for changes and reopens
-// the watch whenever it ends.
+// Keeps the cluster's host list up to date: fetches the full list once, then watches for changes.
+// DiscoveryPlan decides when it connects and which connections it keeps.
 #pragma once
 
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -13,9 +14,10 @@
 #include "cluster_source.hpp"
 #include "config.hpp"
 #include "counters.hpp"
+#include "discovery_plan.hpp"
 #include "http_client.hpp"
 #include "log.hpp"
-#include "retry_backoff.hpp"
+#include "rate_limited_log.hpp"
 
 namespace fennellane {
 
@@ -56,29 +58,40 @@
   void load(std::string_view bytes);  // before `start`; throws starlinghook::SnapshotError
 
  private:
-  asio::awaitable<void> run();
-  asio::awaitable<bool> fetch_list();
-  asio::awaitable<bool> watch_changes();
-  bool process_line(std::string_view line);
-  bool process_list(std::string_view json);
-  std::string format_request(const std::string& target) const;
+  struct Attempt;
+  using AttemptPtr = std::shared_ptr<Attempt>;
+
+  void execute(const DiscoveryPlan::Effects& effects);
+  void execute(const StartAttempt& start);
+  void execute(const CloseAttempt& close);
+  void execute(const HearingLost& lost);
+  void execute(const HearingRegained& regained);
+  void arm_plan_timer();
+  asio::awaitable<void> run(AttemptPtr attempt);
+  asio::awaitable<AttemptEnd> exchange(AttemptPtr attempt);
+  asio::awaitable<AttemptEnd> read_list(AttemptPtr attempt);
+  asio::awaitable<AttemptEnd> read_watch(AttemptPtr attempt);
+  bool process_lines(Attempt& attempt, std::string& text);
+  bool process_line(Attempt& attempt, std::string_view line);
+  bool process_list(Attempt& attempt, std::string_view json);
+  void log_list(const HostList& list);
+  std::string format_request(DiscoveryRequest request) const;
 
   asio::io_context& io_;
   const Config& config_;
+  const Time attempt_timeout_;
   Counters& counters_;
   Log& log_;
+  RateLimitedLog state_log_, list_log_, error_log_;
   OnHostList on_list_;
   std::function<void()> on_activity_;  // may be empty
   Address address_;
-  HttpClient client_;
-  asio::steady_timer retry_timer_;  // delay between two connections
-  RetryBackoff retry_;
-  JsonObjectAssembler partial_object_;  // the lines of an incomplete object, in a watch
+  DiscoveryPlan plan_;
+  asio::steady_timer plan_timer_;
+  std::map<AttemptId, AttemptPtr> attempts_;
   std::uint64_t version_ = 0;
-  std::size_t lists_received_ = 0;  // in the present watch
   bool have_list_ = false;
   bool stopped_ = false;
-  bool redirected_ = false;  // since the last connection was started
 };
 
 }  // namespace fennellane
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -173,6 +173,28 @@
   return Json::writeString(builder, out);
 }
 
+namespace {
+
+DiscoveryMode read_discovery_mode(const wire::SettingsMap& settings) {
+  const auto mode = settings.find("discovery");
+  if (mode == settings.end()) return DiscoveryMode::unknown;
+  return mode->second == "push" ? DiscoveryMode::push : DiscoveryMode::ask;
+}
+
+}  // namespace
+
+const DiscoveryTiming& Config::discovery_timing() const {
+  switch (discovery_mode) {
+    case DiscoveryMode::push:
+      return limits.pushed_discovery;
+    case DiscoveryMode::ask:
+      return limits.asked_discovery;
+    case DiscoveryMode::unknown:
+      break;
+  }
+  return limits.unknown_discovery;
+}
+
 Config parse_config(const std::string& json) {
   try {
     const Json::Value in = parse_json(json, "the configuration");
@@ -205,6 +227,7 @@
     wire::SettingsMap values;
     flatten(required_member(in, "settings", Json::objectValue), "", values);
     config.raw_settings = values;
+    config.discovery_mode = read_discovery_mode(values);
     config.boot = wire::read_settings(std::move(values), salt);
     starlinghook::Settings& s = config.boot.settings;
     s.can_probe = false;        // the relay's protocol has no probes
--- a/src/settings/config.hpp
+++ b/src/settings/config.hpp
@@ -1,6 +1,7 @@
 // The relay's configuration, read from the platform's JSON file, the operators' settings file, or both.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -24,6 +25,10 @@
   using std::runtime_error::runtime_error;
 };
 
+// Who answers at the address of discovery: an agent on this machine that is sent all changes, or one service
+// that all relays ask. Unknown if the settings do not say.
+enum class DiscoveryMode : std::uint8_t { unknown, push, ask };
+
 enum class MembershipSource { platform, list, consul };
 
 struct Config {
@@ -31,6 +36,7 @@
   Address listen;
   bool has_platform = true;  // false: there is only the settings file
   Address discovery;         // the platform's
+  DiscoveryMode discovery_mode = DiscoveryMode::unknown;
   MembershipSource source = MembershipSource::platform;
   std::optional<ConsulSettings> consul;
   LogSettings log;
@@ -44,6 +50,8 @@
   wire::SettingsMap raw_settings;  // the same as given in the file
   HostList known_hosts;  // as stored by a previous process or, for the source `list`, the whole cluster
   Limits limits;
+
+  const DiscoveryTiming& discovery_timing() const;
 };
 
 bool is_numeric_host(const std::string& host);                                    // an IPv4 or IPv6 address
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -30,6 +30,7 @@
   DrainedHost() {
     parts_.known = hosts();
     parts_.max_open = 500;
+    parts_.discovery_mode = "push";
   }
 
   std::vector<HostLine> hosts() const {
@@ -75,6 +76,26 @@
   std::unique_ptr<Load> load_;
 };
 
+std::string fault_name(const testing::TestParamInfo<DiscoveryFault>& info) {
+  switch (info.param) {
+    case DiscoveryFault::none:
+      return "None";
+    case DiscoveryFault::silent:
+      return "Silent";
+    case DiscoveryFault::forgetful:
+      return "Forgetful";
+    case DiscoveryFault::resetting:
+      return "Resetting";
+    case DiscoveryFault::head_only:
+      return "HeadOnly";
+    case DiscoveryFault::half_line:
+      return "HalfLine";
+    case DiscoveryFault::older_version:
+      return "OlderVersion";
+  }
+  return "";
+}
+
 class ReturnOfDiscovery : public DrainedHost, public testing::WithParamInterface<DiscoveryFault> {};
 
 // Guards against calls at a draining host after an outage of discovery (incident c2eb73): the return was
@@ -92,7 +113,8 @@
 }
 INSTANTIATE_TEST_SUITE_P(Faults, ReturnOfDiscovery,
                          testing::Values(DiscoveryFault::silent, DiscoveryFault::forgetful,
-                                         DiscoveryFault::resetting));
+                                         DiscoveryFault::resetting),
+                         fault_name);
 
 class SlowDiscovery : public DrainedHost, public testing::WithParamInterface<int> {};
 
@@ -128,7 +150,8 @@
 }
 INSTANTIATE_TEST_SUITE_P(Faults, UnusableAnswers,
                          testing::Values(DiscoveryFault::head_only, DiscoveryFault::half_line,
-                                         DiscoveryFault::older_version));
+                                         DiscoveryFault::older_version),
+                         fault_name);
 
 }  // namespace
 }  // namespace fennellane::test
--- a/tools/standin/sample_config.hpp
+++ b/tools/standin/sample_config.hpp
@@ -35,6 +35,7 @@
   // A call that may be repeated is waited for twice as long at least.
   int connect_ms = 1000;
   std::size_t index = 0, relays = 1;  // which one of how many
+  std::string discovery_mode{};       // "push" or "ask"; empty: not told
 };
 
 // Class 0 `note` may be repeated, class 1 `pay` may not; tenants `north` and `south`.
@@ -43,8 +44,9 @@
   return R"({"name":"n)" + index + R"(","seed":"8c1f30d27a5be964","listen":")" + p.listen +
          R"(","discovery":")" + p.discovery + R"(","limits":{"cores":1.0,"memory_mb":192,"sockets":)" +
          std::to_string(p.sockets) + R"(,"disk_mb":)" + std::to_string(p.disk_mb) + R"(},"known":)" +
-         list_json(p.known, 0) + R"(,"settings":{"n_instances":)" + std::to_string(p.relays) +
-         R"(,"index":)" + index + R"(,"zone":0,
+         list_json(p.known, 0) + R"(,"settings":{)" +
+         (p.discovery_mode.empty() ? "" : R"("discovery":")" + p.discovery_mode + R"(",)") +
+         R"("n_instances":)" + std::to_string(p.relays) + R"(,"index":)" + index + R"(,"zone":0,
     "request_classes":[
       {"name":"note","effect":"free","aim_us":2000000,"give_up_us":20000000,"worth":1.0,"late_worth":0.4},
       {"name":"pay","effect":"single_shot","aim_us":2000000,"give_up_us":20000000,"worth":3.0}],
