Delivery policy: a decision costs the same however many calls are in the window or in flight

Cause: each check of each candidate passed through all calls of the overload window (next_budgeted_call), through all calls in flight where answers were slow (slot_holding_calls), and each event through all calls in flight while anything waited (free_slots). A decision so cost rate times window.

--- a/src/delivery_policy.cpp
+++ b/src/delivery_policy.cpp
@@ -131,8 +131,8 @@
   std::optional<Time> recovering_since;  // first success after the last failure; begins the slow start
   Time failing_since{};
   Time last_probe_call = kLongAgo;  // used where many forwarders share the slow-start budget
-  double probe_call_turns = 0;  // calls of other forwarders before the next probe call, per waiting message
-  std::vector<Time> recent_calls;  // those within the overload window
+  double probe_call_turns = 0;    // calls of other forwarders before the next probe call, per waiting message
+  std::deque<Time> recent_calls;  // those within the overload window, the oldest first
 };
 
 struct Route {
@@ -750,9 +750,16 @@
   bool holds_slots_long(const Endpoint& e) const {
     return degraded(e) || e.route->answer_mean > kSlowAnswerFactor * std::exp(usual_answer_log_);
   }
+  // By call or by endpoint, whichever are fewer.
   std::size_t slot_holding_calls() const {
     std::size_t n = 0;
-    for (const auto& [id, call] : calls_) n += holds_slots_long(endpoints_.at(call.endpoint)) ? 1 : 0;
+    if (calls_.size() <= endpoints_.size()) {
+      for (const auto& [id, call] : calls_) n += holds_slots_long(endpoints_.at(call.endpoint)) ? 1 : 0;
+      return n;
+    }
+    for (const auto& [id, e] : endpoints_) {
+      if (!e.in_flight.empty() && holds_slots_long(e)) n += e.in_flight.size();
+    }
     return n;
   }
 
@@ -791,7 +798,8 @@
       h.unhealthy = false;
       h.failure_share = h.uncertain_share = 0;
     }
-    std::erase_if(h.recent_calls, [this](Time t) { return t + s_.overload_window <= now_; });
+    while (!h.recent_calls.empty() && h.recent_calls.front() + s_.overload_window <= now_)
+      h.recent_calls.pop_front();
     if (!h.unhealthy) return now_;
     const double total = slow_start_budget(h, rate);
     if (total < s_.forwarders && s_.forwarders > 1) return std::max(now_, next_probe_call(h, rate, waiting));
@@ -1079,13 +1087,14 @@
   // Calls without an answer could hold every slot, or every connection that an endpoint accepts, while
   // messages wait. Cancels the most overdue call, although its answer may be about to arrive.
   void free_slots() {
-    if (!s_.can_cancel) return;
+    if (!s_.can_cancel || waiting_destinations_.empty()) return;
     bool slot_needed = false;
     for (auto id = waiting_destinations_.begin();
          id != waiting_destinations_.end() && calls_.size() >= s_.slots; ++id) {
       for (EndpointId endpoint : destinations_.at(*id).endpoints)
         slot_needed |= !degraded(endpoints_.at(endpoint));
     }
+    if (!slot_needed && !waits_for_connection()) return;
     std::pair<double, std::size_t> most_overdue{1, 0};
     // A call may count as stalled by then.
     Time next = slot_needed ? now_ + min_backoff_multiplier() / 2 : kNever;
@@ -1105,6 +1114,15 @@
     }
   }
 
+  // Whether messages wait for a destination with an endpoint whose connections are all in use.
+  bool waits_for_connection() const {
+    return std::any_of(waiting_destinations_.begin(), waiting_destinations_.end(), [this](DestinationId id) {
+      const std::set<EndpointId>& all = destinations_.at(id).endpoints;
+      return std::any_of(all.begin(), all.end(),
+                         [this](EndpointId endpoint) { return connections_full(endpoints_.at(endpoint)); });
+    });
+  }
+
   // Repeats are dropped only within the deduplication window, so a repeat has to begin within it, however
   // long its connection takes.
   Time latest_start(const Message& m) const {
--- a/tools/standin/sample_config.hpp
+++ b/tools/standin/sample_config.hpp
@@ -35,6 +35,7 @@
   // A call that may be repeated is waited for twice as long at least.
   int connect_ms = 1000;
   std::size_t index = 0, relays = 1;  // which one of how many
+  std::size_t max_calls = 8;          // in flight at once
   std::string discovery_mode{};       // "push" or "ask"; empty: not told
 };
 
@@ -52,7 +53,8 @@
       {"name":"pay","effect":"single_shot","aim_us":2000000,"give_up_us":20000000,"worth":3.0}],
     "orgs":[{"name":"north","quota_per_s":9.5},{"name":"south","quota_per_s":3}],
     "skus":["bank"],"zones":["z"],"weights":"nominal","over_share_worth":0.2,
-    "domain":{"max_calls":8,"late":"by_half","routes_apart":[false],"kind_batch":[1]},
+    "domain":{"max_calls":)" +
+         std::to_string(p.max_calls) + R"(,"late":"by_half","routes_apart":[false],"kind_batch":[1]},
     "feedback":{"names":["x0","x1"],"source":"answers"},
     "guarantees":{"answer_slack_us":20000,"cold_from":0.16,"cold_us":10000000,"fall_us":2000000,
                   "overload_factor":2.0,"stop_sending_within_us":1000000},
