Requests: a head of very many short fields takes little more memory than its bytes

Cause: HttpReader kept each field as two strings, about 64 bytes for one of 6, kept that memory while the connection rested, and let bodies grow by doubling, side by side, which left gaps. admission counts 96 KiB a connection; such a head took 200 KiB.

Change: HeaderFields keeps all names and values in one string with 6 bytes a field, and releases a large head. A body with a length is reserved once, at that length; one in chunks grows by a quarter.

--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 
+#include "bounded_append.hpp"
 #include "number.hpp"
 
 namespace fennellane {
@@ -33,7 +34,9 @@
 }  // namespace
 
 HttpReader::HttpReader(Kind kind, std::size_t max_head_bytes, std::size_t max_body_bytes)
-    : kind_(kind), max_head_bytes_(max_head_bytes), max_body_bytes_(max_body_bytes) {
+    : kind_(kind),
+      max_head_bytes_(std::min(max_head_bytes, HeaderFields::kMaxBytes)),
+      max_body_bytes_(max_body_bytes) {
   reset();
 }
 
@@ -48,7 +51,7 @@
   target_.clear();
   headers_.clear();
   reading_header_value_ = false;
-  body_.clear();
+  body_ = {};
   started_ = head_done_ = done_ = keep_alive_ = has_connection_close_ = false;
   error_status_ = 0;
 }
@@ -66,10 +69,7 @@
 }
 
 int HttpReader::on_head_complete() {
-  for (auto& [name, value] : headers_) {
-    std::transform(name.begin(), name.end(), name.begin(), to_lower);
-    value.erase(value.find_last_not_of(" \t") + 1);  // surrounding whitespace is not part of the value
-  }
+  headers_.normalize();
   head_done_ = true;
   // HTTP/0.9 answers have no head, and other major versions are unknown here.
   if (parser_.http_major != 1) error_status_ = kVersionNotSupported;
@@ -82,6 +82,8 @@
     error_status_ = kBodyTooLarge;
     return -1;
   }
+  // At once, since many bodies that grow side by side would leave gaps between them.
+  if (kind_ == Kind::request && (parser_.flags & F_CONTENTLENGTH)) body_.reserve(parser_.content_length);
   return 0;
 }
 
@@ -95,7 +97,8 @@
             std::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(c)) != std::string_view::npos);
   };
   int lengths = 0, codings = 0;
-  for (const auto& [name, value] : headers_) {
+  for (std::size_t i = 0; i < headers_.size(); ++i) {
+    const std::string_view name = headers_.name(i), value = headers_.value(i);
     if (name.empty() || !std::all_of(name.begin(), name.end(), in_name)) return kBadRequest;
     if (name == "content-length") {
       ++lengths;
@@ -103,7 +106,7 @@
     }
     if (name == "transfer-encoding") {
       ++codings;
-      std::string coding = value;
+      std::string coding(value);
       std::transform(coding.begin(), coding.end(), coding.begin(), to_lower);
       if (coding != "chunked") return kBadRequest;
     }
@@ -114,9 +117,11 @@
 // Detects a truncated answer followed by a complete one, which the parser would merge into one answer with
 // the status of the first and the headers of the second.
 bool HttpReader::has_embedded_answer() const {
-  return count_status_line_starts(reason_phrase_) > 0 ||
-         std::any_of(headers_.begin(), headers_.end(),
-                     [](const auto& header) { return count_status_line_starts(header.second) > 0; });
+  if (count_status_line_starts(reason_phrase_) > 0) return true;
+  for (std::size_t i = 0; i < headers_.size(); ++i) {
+    if (count_status_line_starts(headers_.value(i)) > 0) return true;
+  }
+  return false;
 }
 
 // Counts in the raw bytes, since an unreadable head leaves nothing else behind. A status line that starts in
@@ -169,18 +174,18 @@
       auto& reader = *static_cast<HttpReader*>(parser->data);
       if (reader.headers_.empty() || reader.reading_header_value_) {
         if (!reader.add_head_bytes(kHeaderLineOverhead)) return -1;
-        reader.headers_.emplace_back();
+        reader.headers_.begin_field();
       }
       reader.reading_header_value_ = false;
       if (!reader.add_head_bytes(n)) return -1;
-      reader.headers_.back().first.append(at, n);
+      reader.headers_.append_name({at, n});
       return 0;
     };
     parser_settings.on_header_value = [](http_parser* parser, const char* at, std::size_t n) {
       auto& reader = *static_cast<HttpReader*>(parser->data);
       reader.reading_header_value_ = true;
       if (reader.headers_.empty() || !reader.add_head_bytes(n)) return -1;
-      reader.headers_.back().second.append(at, n);
+      reader.headers_.append_value({at, n});
       return 0;
     };
     parser_settings.on_headers_complete = [](http_parser* parser) {
@@ -192,6 +197,7 @@
         reader.error_status_ = kBodyTooLarge;
         return -1;
       }
+      if (reader.kind_ == Kind::request) reserve_bounded(reader.body_, n, reader.max_body_bytes_);
       reader.body_.append(at, n);
       return 0;
     };
@@ -229,15 +235,7 @@
 }
 
 std::optional<std::string_view> HttpReader::header(std::string_view name) const {
-  std::optional<std::string_view> found;
-  for (const auto& [key, value] : headers_) {
-    if (key != name) continue;
-    // A repeated header could be read in two ways. The values that matter contain no comma, so returning one
-    // makes the header malformed.
-    if (found) return std::string_view(",");
-    found = value;
-  }
-  return found;
+  return headers_.find(name);
 }
 
 std::string format_answer(unsigned status, bool close, std::string_view more_headers) {
--- a/src/http/http.hpp
+++ b/src/http/http.hpp
@@ -9,7 +9,8 @@
 #include <string>
 #include <string_view>
 #include <utility>
-#include <vector>
+
+#include "header_fields.hpp"
 
 namespace fennellane {
 
@@ -72,7 +73,7 @@
   unsigned status_line_count_ = 0;
   std::string tail_;  // of a response, its last bytes, which may contain the start of a status line
   std::string target_;
-  std::vector<std::pair<std::string, std::string>> headers_;
+  HeaderFields headers_;
   bool reading_header_value_ = false;
   std::string body_;
   bool started_ = false;
