A client that has left is noticed also while much of its input is unread

Cause: client_disconnected looked whether the next byte to read was the end of the input. With further requests in the buffer or in the kernel it was not, so each but the last was accepted; nor did it see a reset.

Change: poll with POLLRDHUP tells of the end, or of a reset, ahead of what is unread. The message is refused as before (503, nothing of it kept).

--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -1,6 +1,7 @@
 #include "downstream.hpp"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -373,10 +374,14 @@
     return std::chrono::duration_cast<Time>(std::chrono::steady_clock::now() - start);
   }
 
+  // Whether the client has closed its side or reset the connection, also while input from before is unread.
   bool client_disconnected() {
+    if (input_ended_) return true;
+    pollfd polled{socket_.native_handle(), POLLRDHUP, 0};
+    if (::poll(&polled, 1, 0) > 0) return true;
+    // Where poll reports no end of input, the end itself can still be read.
     char byte = 0;
-    return input_ended_ ||
-           (in_.empty() && ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0);
+    return in_.empty() && ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
   }
 
   bool has_answer_room() {
