A call that waits for its connection does not go to where its host was before

Cause: a change of the list cancelled calls that had not sent a byte only for hosts that drain or are gone. One that was still connecting when the list gave its host another address or destination went on to the old one. started_ms was not read, so a host that had started anew under its address kept its connections.

Change: another address, another destination or a later start retires the host's connections and cancels its unsent calls. started_ms is read, handed over, and kept in the list that the fleet shares.

Measured: ReducerTest.CancelsUnsentCallsToAHostThatMoved; the behaviour it asks for was not there before (no CancelUnsentCall was emitted for these).

--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -24,6 +24,7 @@
   std::uint32_t kind = 0;
   std::uint32_t destination = 0;
   double rate = 0;
+  std::uint64_t started_ms = 0;  // its last start, as Unix time; 0: long ago, or not told
   starlinghook::Condition condition = starlinghook::Condition::ready;
 };
 
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -46,7 +46,7 @@
   std::uint64_t host_lists = 0;
   std::uint64_t discovery_connects = 0;
   std::uint64_t discovery_losses = 0;  // times that nothing was heard from it any more
-  std::uint64_t reloads = 0;  // new configurations applied
+  std::uint64_t reloads = 0;           // new configurations applied
   // Consul.
   std::uint64_t consul_queries = 0;
   std::uint64_t consul_answers = 0;     // read completely
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -200,7 +200,7 @@
     emit(RecordOutcome{c.stream, uncertain});
   }
   if (c.retry_after > Time(0)) {
-    cancel_unsent_calls([&](const HostEntry& host) { return host.destination == destination; });
+    cancel_unsent_calls([&](HostId host) { return cluster_.at(host).entry.destination == destination; });
   }
   const HostId endpoint = ended.endpoint;
   handle_event(ended);
@@ -215,16 +215,22 @@
   return call.outcome == Outcome::delivered && now_ + limits_.delivery_deadline_margin >= stream.deadline;
 }
 
-// Cancels calls that were started before a wait was requested or a host began to drain, and that have not
-// been written yet: a new connection may take long to be established.
+// Cancels calls that were started before a wait was requested, or a host began to drain or moved, and that
+// have not been written yet: a new connection may take long to be established.
 template <class Predicate>
 void Reducer::cancel_unsent_calls(Predicate matches) {
   for (const auto& [id, stream] : streams_) {
-    if (stream.in_flight && matches(cluster_.at(stream.host).entry))
-      emit(CancelUnsentCall{id, stream.attempts - 1});
+    if (stream.in_flight && matches(stream.host)) emit(CancelUnsentCall{id, stream.attempts - 1});
   }
 }
 
+// Whether calls under way to the host as listed before would reach another process, or one of another
+// destination.
+bool Reducer::has_moved(const HostEntry& before, const HostEntry& now) {
+  const bool restarted = now.started_ms != 0 && now.started_ms != before.started_ms;
+  return now.address != before.address || now.destination != before.destination || restarted;
+}
+
 HostId Reducer::intern(const std::string& host) {
   const auto [it, added] = host_ids_.emplace(host, next_host_);
   if (added) cluster_[next_host_++].entry.id = host;
@@ -243,6 +249,7 @@
 
 void Reducer::on(const ClusterChanged& update) {
   std::vector<HostId> gone;
+  std::unordered_set<HostId> moved;
   bool any_draining = false;
   starlinghook::ListChanged change;
   change.full = update.list.full;
@@ -265,9 +272,9 @@
     const bool known = host_ids_.count(entry.id) > 0;
     const HostId id = intern(entry.id);
     Host& host = cluster_.at(id);
-    // A host that changes its address must not be reached over connections to the old one.
-    const bool address_changed = known && entry.address.text() != host.entry.address.text();
-    if (entry.condition != Condition::ready || address_changed) emit(RetireHost{id});
+    // It must not be reached over connections to what was there before.
+    if (known && has_moved(host.entry, entry)) moved.insert(id);
+    if (entry.condition != Condition::ready || moved.count(id) > 0) emit(RetireHost{id});
     any_draining = any_draining || entry.condition != Condition::ready;
     host.entry = entry;
     if (entry.condition == Condition::gone) gone.push_back(id);
@@ -276,8 +283,11 @@
     change.entries.push_back({id, entry.destination, entry.zone, entry.kind, entry.rate, entry.condition});
   }
   // A change that only adds hosts requires no scan of the streams or hosts.
-  if (any_draining)
-    cancel_unsent_calls([](const HostEntry& host) { return host.condition != Condition::ready; });
+  if (any_draining || !moved.empty()) {
+    cancel_unsent_calls([&](HostId host) {
+      return moved.count(host) > 0 || cluster_.at(host).entry.condition != Condition::ready;
+    });
+  }
   handle_event(change);
   for (const HostId id : gone) forget_if_gone(id);
   if (fleet_ && fleet_->cap() && *fleet_->cap()) cap_backoffs();  // includes hosts added since
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -266,7 +266,8 @@
   void give_up(StreamId stream, Verdict verdict, Time retry_after, starlinghook::GiveUpReason reason);
   bool answered_too_late(const Stream& stream, const CallEnded& call) const;
   template <class Predicate>
-  void cancel_unsent_calls(Predicate matches);
+  void cancel_unsent_calls(Predicate matches);  // by the call's host
+  static bool has_moved(const HostEntry& before, const HostEntry& now);
   void end_message(std::map<StreamId, Stream>::iterator it);
   HostId intern(const std::string& host);
   void forget_if_gone(HostId host);
--- a/src/core/snapshot.hpp
+++ b/src/core/snapshot.hpp
@@ -89,7 +89,7 @@
 }
 template <class Archive>
 void serialize(Archive& archive, HostEntry& e) {
-  archive(e.id, e.address, e.zone, e.kind, e.destination, e.rate, e.condition);
+  archive(e.id, e.address, e.zone, e.kind, e.destination, e.rate, e.started_ms, e.condition);
 }
 
 }  // namespace fennellane
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -115,6 +115,7 @@
     host.kind = position_of(boot.kinds, plain_text(server["kind"]));
     host.destination = static_cast<std::uint32_t>(number_member(server, "cell", 0, 65535));
     host.rate = boot.rates_listed ? number_member(server, "weight", 0, 1e9) : 0;
+    host.started_ms = static_cast<std::uint64_t>(number_member(server, "started_ms", 0, 1e15));
     list.hosts.push_back(std::move(host));
   }
   return list;
@@ -166,6 +167,7 @@
                       : host.condition == Condition::draining ? "draining"
                                                               : "gone";
     server["weight"] = host.rate;
+    server["started_ms"] = Json::UInt64(host.started_ms);
     out["servers"].append(server);
   }
   Json::StreamWriterBuilder builder;
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -231,6 +231,33 @@
   EXPECT_NE(call.host, before);  // the same address, but another host
 }
 
+// Guards against calls that reach a process, or a destination, other than the one they were started for
+// (incident c2eb73, picture d).
+TEST_F(ReducerTest, CancelsUnsentCallsToAHostThatMoved) {
+  const HostLine first{"s-1", "127.0.0.1:9"};
+  const auto with_start = [&](HostLine host, std::uint64_t started_ms) {
+    host.started_ms = started_ms;
+    return host;
+  };
+  const std::vector<HostLine> moves = {
+      {"s-1", "127.0.0.1:10"}, {"s-1", "127.0.0.1:9", 8}, with_start(first, 1700000000123)};
+  for (const HostLine& moved : moves) {
+    set_hosts({first});
+    handle(make_message("m" + moved.address + std::to_string(moved.cell + moved.started_ms)));
+    ASSERT_EQ(count<StartCall>(), 1u);
+    set_hosts({moved}, false);
+    ASSERT_EQ(count<CancelUnsentCall>(), 1u);
+    EXPECT_EQ(first_effect<CancelUnsentCall>().stream, call.stream);
+    EXPECT_EQ(count<RetireHost>(), 1u);
+    set_hosts({moved}, false);
+    EXPECT_EQ(count<CancelUnsentCall>(), 0u) << "it is where it was";
+    set_hosts({first}, false);
+    end_call(Outcome::not_sent);
+    advance(milliseconds(100));
+    end_call(Outcome::delivered);
+  }
+}
+
 // A message to an unknown destination must be rejected instead of being held until its deadline; before
 // discovery has sent its list, the client is refused and may retry.
 TEST_F(ReducerTest, RejectsAnUnknownDestination) {
--- a/tools/standin/sample_config.hpp
+++ b/tools/standin/sample_config.hpp
@@ -1,6 +1,7 @@
 // A small configuration of the platform's form, its lists of hosts, and a request that it takes.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -12,6 +13,7 @@
   int cell = 7;
   std::string state = "ready";
   double weight = 50;
+  std::uint64_t started_ms = 0;
 };
 
 inline std::string list_json(const std::vector<HostLine>& hosts, int version = 1, bool full = true) {
@@ -21,7 +23,8 @@
     if (text.back() == '}') text += ",";
     text += "{\"id\":\"" + h.id + "\",\"addr\":\"" + h.address +
             "\",\"zone\":\"z\",\"kind\":\"bank\",\"cell\":" + std::to_string(h.cell) + ",\"state\":\"" +
-            h.state + "\",\"weight\":" + std::to_string(h.weight) + ",\"started_ms\":0}";
+            h.state + "\",\"weight\":" + std::to_string(h.weight) +
+            ",\"started_ms\":" + std::to_string(h.started_ms) + "}";
   }
   return text + "]}";
 }
