Discovery: a watch that stands still within a line, or behind its head, is doubted after 0.8 s

Cause: the last attempt before the return had brought half a list. DiscoveryPlan took that for a watch that is heard, closed the others and waited 2.3 s, as for the next empty line.

Behind a head, or within a line, an agent has 0.8 s (a service 3 s) before further attempts begin beside it.

--- a/src/core/limits.hpp
+++ b/src/core/limits.hpp
@@ -20,7 +20,8 @@
   Time patient_interval{};
   Time attempt_timeout{};
   Time answer_silence{};  // between two parts of a full list
-  Time watch_silence{};   // discovery sends an empty line every 2 s
+  Time line_silence{};    // between the head of a watch and its first line, and within a line
+  Time watch_silence{};   // between two lines; discovery sends an empty one every 2 s
   // After an attempt that has failed, randomized by a factor of 0.5 to 1.5.
   Time retry_min{}, retry_max{};
 };
@@ -104,13 +105,14 @@
   Time agent_write_timeout = std::chrono::seconds(2);  // for the Consul agent's answer to a write
   Time agent_read_timeout = std::chrono::seconds(3);   // for its answer to a read
   // An agent on the relay's own machine: what it has counts as told, and asking it costs nothing.
-  DiscoveryTiming pushed_discovery{.first_interval = std::chrono::milliseconds(900),
+  DiscoveryTiming pushed_discovery{.first_interval = std::chrono::milliseconds(800),
                                    .interval_min = std::chrono::milliseconds(200),
                                    .interval_max = std::chrono::milliseconds(2400),
                                    .interval_jitter = Time(0),
-                                   .patient_interval = std::chrono::milliseconds(900),
+                                   .patient_interval = std::chrono::milliseconds(800),
                                    .attempt_timeout = std::chrono::milliseconds(5400),
-                                   .answer_silence = std::chrono::seconds(1),
+                                   .answer_silence = std::chrono::milliseconds(800),
+                                   .line_silence = std::chrono::milliseconds(800),
                                    .watch_silence = std::chrono::milliseconds(2300),
                                    .retry_min = std::chrono::milliseconds(200),
                                    .retry_max = std::chrono::milliseconds(400)};
@@ -122,6 +124,7 @@
                                   .patient_interval = Time(0),
                                   .attempt_timeout = std::chrono::milliseconds(5400),
                                   .answer_silence = std::chrono::milliseconds(1500),
+                                  .line_silence = std::chrono::seconds(3),
                                   .watch_silence = std::chrono::seconds(3),
                                   .retry_min = std::chrono::milliseconds(400),
                                   .retry_max = std::chrono::seconds(2)};
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -207,6 +207,8 @@
     const bool usable = process_lines(*attempt, text);
     if (attempt->abandoned) co_return AttemptEnd::superseded;
     if (!usable) co_return AttemptEnd::unusable;
+    const bool inside_line = !text.empty() || !attempt->partial_object.text().empty();
+    if (inside_line) execute(plan_.on_input(steady_now(), attempt->id));
   }
   co_return AttemptEnd::closed;
 }
--- a/src/platform/discovery_plan.cpp
+++ b/src/platform/discovery_plan.cpp
@@ -66,13 +66,17 @@
   if (it == attempts_.end()) return effects;
   if (!it->second.last_input) learn_interval(now);
   it->second.last_input = now;
-  if (it->second.request == DiscoveryRequest::watch) close_all_but(id, effects);
+  it->second.line_pending = true;
   return effects;
 }
 
 DiscoveryPlan::Effects DiscoveryPlan::on_line(Time now, AttemptId id) {
   Effects effects = on_input(now, id);
-  if (attempts_.count(id) == 0 || hearing_since_) return effects;
+  const auto it = attempts_.find(id);
+  if (it == attempts_.end()) return effects;
+  it->second.line_pending = false;
+  close_all_but(id, effects);
+  if (hearing_since_) return effects;
   hearing_since_ = now;
   effects.push_back(HearingRegained{now - lost_since_, std::exchange(attempts_since_lost_, 0)});
   return effects;
@@ -144,7 +148,8 @@
 }
 
 Time DiscoveryPlan::silence_limit(const Attempt& attempt) const {
-  return attempt.request == DiscoveryRequest::watch ? timing_.watch_silence : timing_.answer_silence;
+  if (attempt.request == DiscoveryRequest::full_list) return timing_.answer_silence;
+  return attempt.line_pending ? timing_.line_silence : timing_.watch_silence;
 }
 
 // When an attempt is given up: a full list as a whole, a watch so long after its last input.
--- a/src/platform/discovery_plan.hpp
+++ b/src/platform/discovery_plan.hpp
@@ -68,7 +68,7 @@
   Effects start(Time now, bool have_list);
   // Discovery is at another address, whose full list is not known.
   Effects redirect(Time now);
-  // A part of the attempt's answer, with status 200, has arrived.
+  // A part of the attempt's answer, with status 200, has arrived; for a watch, its head or a part of a line.
   Effects on_input(Time now, AttemptId id);
   // A line of the watch was read and applied, or an empty line.
   Effects on_line(Time now, AttemptId id);
@@ -87,6 +87,7 @@
     Time started{};
     bool patient = false;  // kept until the attempt's timeout, so that a slow answer is heard
     std::optional<Time> last_input;
+    bool line_pending = true;  // of a watch: its first line, or the rest of one, is still to come
   };
   using Attempts = std::map<AttemptId, Attempt>;
 
