Discovery and requests: one piece each for what the incident's fixes had written twice

Need: reading the change once more.

Change: DiscoveryPlan::close_if, src/http/ascii.hpp, src/io/seconds_text.hpp, tests/process_memory.hpp (resident memory is read in KiB, whatever a page is). No behaviour, bound, check or log text changes.

--- a/src/http/header_fields.cpp
+++ b/src/http/header_fields.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "ascii.hpp"
 #include "bounded_append.hpp"
 
 namespace fennellane {
@@ -9,8 +10,6 @@
 
 constexpr std::size_t kKeptBytes = 1024;  // by clear(), for the next head
 
-char to_lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
-
 }  // namespace
 
 std::string_view HeaderFields::name(std::size_t i) const {
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 
+#include "ascii.hpp"
 #include "bounded_append.hpp"
 #include "number.hpp"
 
@@ -13,8 +14,6 @@
 constexpr std::size_t kFirstLineBytes = 13;     // "HTTP/1.1 200 "
 constexpr std::size_t kHeaderLineOverhead = 4;  // ": " and the line end
 
-char to_lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
-
 constexpr std::string_view kHttpVersionPrefix = "HTTP/1.";
 constexpr std::size_t kStatusLinePrefixBytes = kHttpVersionPrefix.size() + 5;  // "HTTP/1.1 200"
 
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 #include <asio/co_spawn.hpp>
-#include <cstdio>
 #include <utility>
 
 #include "clock.hpp"
+#include "seconds_text.hpp"
 #include "snapshot.hpp"
 
 namespace fennellane {
@@ -30,15 +30,10 @@
 namespace {
 
 constexpr unsigned kOk = 200;
+constexpr int kLogDecimals = 2;  // of seconds
 
 bool is_blank(std::string_view line) { return line.find_first_not_of(" \r\t") == std::string_view::npos; }
 
-std::string seconds_text(Time span) {
-  char text[32];
-  std::snprintf(text, sizeof text, "%.2f s", std::chrono::duration<double>(span).count());
-  return text;
-}
-
 }  // namespace
 
 // One connection with one request.
@@ -136,12 +131,12 @@
 
 void Discovery::execute(const HearingLost& lost) {
   ++counters_.discovery_losses;
-  state_log_(steady_now(), "not heard any more after " + seconds_text(lost.heard_for) + ": " +
+  state_log_(steady_now(), "not heard any more after " + seconds_text(lost.heard_for, kLogDecimals) + ": " +
                                std::string(attempt_end_text(lost.reason)));
 }
 
 void Discovery::execute(const HearingRegained& regained) {
-  state_log_(steady_now(), "heard after " + seconds_text(regained.lost_for) + " and " +
+  state_log_(steady_now(), "heard after " + seconds_text(regained.lost_for, kLogDecimals) + " and " +
                                std::to_string(regained.attempts) + " requests, from version " +
                                std::to_string(version_));
 }
@@ -164,7 +159,7 @@
 }
 
 asio::awaitable<AttemptEnd> Discovery::exchange(AttemptPtr attempt) {
-  if (attempt->abandoned) co_return AttemptEnd::superseded;
+  if (attempt->abandoned) co_return AttemptEnd::closed;
   const bool connected = co_await attempt->client.connect(attempt_timeout_);
   if (!connected || attempt->abandoned) co_return AttemptEnd::not_connected;
   const bool sent = co_await attempt->client.send(format_request(attempt->request), attempt_timeout_);
@@ -205,7 +200,7 @@
     if (on_activity_ && !stopped_) on_activity_();
     text += client.answer().take_body();
     const bool usable = process_lines(*attempt, text);
-    if (attempt->abandoned) co_return AttemptEnd::superseded;
+    if (attempt->abandoned) co_return AttemptEnd::closed;
     if (!usable) co_return AttemptEnd::unusable;
     const bool inside_line = !text.empty() || !attempt->partial_object.text().empty();
     if (inside_line) execute(plan_.on_input(steady_now(), attempt->id));
--- a/src/platform/discovery_plan.cpp
+++ b/src/platform/discovery_plan.cpp
@@ -9,8 +9,6 @@
   switch (end) {
     case AttemptEnd::not_connected:
       return "the connection failed";
-    case AttemptEnd::not_answered:
-      return "no answer in time";
     case AttemptEnd::rejected:
       return "a status other than 200";
     case AttemptEnd::unusable:
@@ -19,8 +17,6 @@
       return "discovery ended the connection";
     case AttemptEnd::silent:
       return "the watch is silent";
-    case AttemptEnd::superseded:
-      return "another connection is used";
     case AttemptEnd::redirected:
       return "discovery is at another address";
     case AttemptEnd::complete:
@@ -32,6 +28,19 @@
 DiscoveryPlan::DiscoveryPlan(const DiscoveryTiming& timing, std::uint64_t seed)
     : timing_(timing), random_(seed), retry_(timing.retry_min, timing.retry_max, seed) {}
 
+template <class Predicate>
+void DiscoveryPlan::close_if(Predicate matches, Effects& effects) {
+  std::erase_if(attempts_, [&](const auto& entry) {
+    if (!matches(entry.second)) return false;
+    effects.push_back(CloseAttempt{entry.first});
+    return true;
+  });
+}
+
+void DiscoveryPlan::close_all(Effects& effects) {
+  close_if([](const Attempt&) { return true; }, effects);
+}
+
 DiscoveryPlan::Effects DiscoveryPlan::start(Time now, bool have_list) {
   Effects effects;
   have_list_ = have_list;
@@ -45,7 +54,7 @@
   Effects effects;
   have_list_ = false;
   if (!started_) return effects;
-  close_all_but(std::nullopt, effects);
+  close_all(effects);
   if (hearing_since_) lose_hearing(now, AttemptEnd::redirected, effects);
   begin(now);
   tick(now, effects);
@@ -75,7 +84,8 @@
   const auto it = attempts_.find(id);
   if (it == attempts_.end()) return effects;
   it->second.line_pending = false;
-  close_all_but(id, effects);
+  const Attempt& answered = it->second;
+  close_if([&](const Attempt& attempt) { return &attempt != &answered; }, effects);
   if (hearing_since_) return effects;
   hearing_since_ = now;
   effects.push_back(HearingRegained{now - lost_since_, std::exchange(attempts_since_lost_, 0)});
@@ -90,7 +100,7 @@
   attempts_.erase(it);
   if (reason == AttemptEnd::complete && ended.request == DiscoveryRequest::full_list) {
     have_list_ = true;
-    close_all_but(std::nullopt, effects);
+    close_all(effects);
     next_start_ = now;
     tick(now, effects);
     return effects;
@@ -98,7 +108,7 @@
   // A watch that was answered well shows that discovery serves, so the next failure is the first.
   if (ended.request == DiscoveryRequest::watch && ended.last_input && reason == AttemptEnd::closed)
     retry_.reset();
-  if (hearing_since_ && !find_receiving(now)) lose_hearing(now, reason, effects);
+  if (hearing_since_ && !is_receiving(now)) lose_hearing(now, reason, effects);
   next_start_ = now + retry_.next_delay();
   tick(now, effects);
   return effects;
@@ -111,12 +121,8 @@
 }
 
 void DiscoveryPlan::tick(Time now, Effects& effects) {
-  std::erase_if(attempts_, [&](const auto& entry) {
-    if (now < expiry(entry.second)) return false;
-    effects.push_back(CloseAttempt{entry.first});
-    return true;
-  });
-  if (find_receiving(now)) return;
+  close_if([&](const Attempt& attempt) { return now >= expiry(attempt); }, effects);
+  if (is_receiving(now)) return;
   if (hearing_since_) {
     lose_hearing(now, AttemptEnd::silent, effects);
     // Many relays' watches fall silent in one moment.
@@ -128,11 +134,7 @@
 void DiscoveryPlan::start_attempt(Time now, Effects& effects) {
   const bool patient = starts_patient(now);
   // One that is not patient gives way to the next.
-  std::erase_if(attempts_, [&](const auto& entry) {
-    if (entry.second.patient || entry.second.last_input) return false;
-    effects.push_back(CloseAttempt{entry.first});
-    return true;
-  });
+  close_if([](const Attempt& attempt) { return !attempt.patient && !attempt.last_input; }, effects);
   const DiscoveryRequest request = have_list_ ? DiscoveryRequest::watch : DiscoveryRequest::full_list;
   attempts_.emplace(++last_id_, Attempt{request, now, patient, std::nullopt});
   ++attempts_since_lost_;
@@ -162,10 +164,9 @@
   return attempt.last_input && now < *attempt.last_input + silence_limit(attempt);
 }
 
-std::optional<AttemptId> DiscoveryPlan::find_receiving(Time now) const {
-  const auto found = std::find_if(attempts_.begin(), attempts_.end(),
-                                  [&](const auto& entry) { return receives(entry.second, now); });
-  return found == attempts_.end() ? std::nullopt : std::optional(found->first);
+bool DiscoveryPlan::is_receiving(Time now) const {
+  return std::any_of(attempts_.begin(), attempts_.end(),
+                     [&](const auto& entry) { return receives(entry.second, now); });
 }
 
 // The newest attempt's age is the least that an answer takes, and after an outage it tells nothing of how
@@ -178,14 +179,6 @@
   return Time(std::uniform_int_distribution<Time::rep>(0, timing_.interval_jitter.count())(random_));
 }
 
-void DiscoveryPlan::close_all_but(std::optional<AttemptId> kept, Effects& effects) {
-  std::erase_if(attempts_, [&](const auto& entry) {
-    if (entry.first == kept) return false;
-    effects.push_back(CloseAttempt{entry.first});
-    return true;
-  });
-}
-
 void DiscoveryPlan::lose_hearing(Time now, AttemptEnd reason, Effects& effects) {
   effects.push_back(HearingLost{reason, now - *hearing_since_});
   hearing_since_.reset();
--- a/src/platform/discovery_plan.hpp
+++ b/src/platform/discovery_plan.hpp
@@ -26,14 +26,12 @@
 // Why an attempt, or a watch, has ended.
 enum class AttemptEnd : std::uint8_t {
   not_connected,
-  not_answered,  // no answer, or not all of a full list, within the attempt's time
-  rejected,      // a status other than 200
-  unusable,      // an answer that cannot be used
-  closed,        // by discovery
-  silent,        // a watch without even an empty line
-  superseded,    // another attempt was answered, or took its place
-  redirected,    // discovery has another address
-  complete       // a full list was read
+  rejected,    // a status other than 200
+  unusable,    // an answer that cannot be used
+  closed,      // by discovery
+  silent,      // a watch without even an empty line
+  redirected,  // discovery has another address
+  complete     // a full list was read
 };
 std::string_view attempt_end_text(AttemptEnd end);
 
@@ -78,8 +76,6 @@
 
   // When `on_timer` is due; max() if never.
   Time next_timer(Time now) const;
-  bool hears() const { return hearing_since_.has_value(); }
-  std::size_t open_attempts() const { return attempts_.size(); }
 
  private:
   struct Attempt {
@@ -89,7 +85,6 @@
     std::optional<Time> last_input;
     bool line_pending = true;  // of a watch: its first line, or the rest of one, is still to come
   };
-  using Attempts = std::map<AttemptId, Attempt>;
 
   void tick(Time now, Effects& effects);
   void begin(Time now);
@@ -98,16 +93,18 @@
   Time silence_limit(const Attempt& attempt) const;
   Time expiry(const Attempt& attempt) const;
   bool receives(const Attempt& attempt, Time now) const;
-  std::optional<AttemptId> find_receiving(Time now) const;
+  bool is_receiving(Time now) const;
   void learn_interval(Time now);
   Time jitter();
-  void close_all_but(std::optional<AttemptId> kept, Effects& effects);
+  template <class Predicate>
+  void close_if(Predicate matches, Effects& effects);
+  void close_all(Effects& effects);
   void lose_hearing(Time now, AttemptEnd reason, Effects& effects);
 
   const DiscoveryTiming timing_;
   std::mt19937_64 random_;
   RetryBackoff retry_;
-  Attempts attempts_;
+  std::map<AttemptId, Attempt> attempts_;
   AttemptId last_id_ = 0;
   Time last_started_{};  // the newest attempt
   Time interval_{};      // between two attempts
--- a/src/relay/relay_storage.cpp
+++ b/src/relay/relay_storage.cpp
@@ -4,10 +4,13 @@
 
 #include "clock.hpp"
 #include "relay.hpp"
+#include "seconds_text.hpp"
 
 namespace fennellane {
 namespace {
 
+constexpr int kLogDecimals = 1;  // of seconds
+
 // Whether this errno, from opening the state folder, needs an operator's attention.
 bool is_unusable(int error) {
   switch (error) {
@@ -24,12 +27,6 @@
   }
 }
 
-std::string seconds_text(Time span) {
-  char text[32];
-  std::snprintf(text, sizeof text, "%.1f s", static_cast<double>(span.count()) / 1e6);
-  return text;
-}
-
 }  // namespace
 
 // Retries until the journal has been read. An unusable folder is retried until `startup_wait`, since its disk
@@ -56,7 +53,8 @@
     });
     return;
   }
-  if (open_failure_logged_) log_("storage", "open after " + seconds_text(steady_now() - started_));
+  if (open_failure_logged_)
+    log_("storage", "open after " + seconds_text(steady_now() - started_, kLogDecimals));
   storage_retry_.reset();
   storage_open_ = true;
   if (!stopping_) start_serving();
@@ -113,7 +111,8 @@
   const bool writable = !journal_.failure();
   if (std::exchange(storage_writable_, writable) == writable) return;
   if (writable) {
-    log_("storage", "writes again after " + seconds_text(steady_now() - storage_failing_since_) + ", " +
+    log_("storage", "writes again after " +
+                        seconds_text(steady_now() - storage_failing_since_, kLogDecimals) + ", " +
                         std::to_string(counters_.storage_refused) + " messages refused so far");
     storage_retry_.reset();
     storage_timer_.cancel();
--- a/tests/crowd_test.cpp
+++ b/tests/crowd_test.cpp
@@ -2,10 +2,10 @@
 // goes on answering others.
 #include <gtest/gtest.h>
 
-#include <fstream>
 #include <thread>
 #include <vector>
 
+#include "process_memory.hpp"
 #include "relay_fixture.hpp"
 
 namespace fennellane::test {
@@ -13,16 +13,6 @@
 
 constexpr std::size_t kClients = 850;
 constexpr std::size_t kHeadBytes = 13500;  // of short fields; just accepted
-// The limit is 192 MB; a half of it is left for messages, lists and calls.
-constexpr std::size_t kMostClientsMb = 96;
-
-// With sanitizers the process holds their memory as well.
-#ifdef __SANITIZE_ADDRESS__
-constexpr bool kMeasuresMemory = false;
-#else
-constexpr bool kMeasuresMemory = true;
-#endif
-
 enum class Unfinished : std::uint8_t { head_of_short_fields, body, body_behind_short_fields, slow };
 
 std::string short_fields() {
@@ -47,16 +37,6 @@
   return whole;
 }
 
-std::size_t peak_mb(pid_t pid) {
-  std::ifstream in("/proc/" + std::to_string(pid) + "/status");
-  std::string word;
-  std::size_t kib = 0;
-  while (in >> word) {
-    if (word == "VmHWM:") in >> kib;
-  }
-  return kib / 1024;
-}
-
 class CrowdOfUnfinishedRequests : public testing::TestWithParam<Unfinished> {};
 
 // Guards against a relay that is killed over its memory limit (incident c2eb73, picture a).
--- a/tests/fast_client_test.cpp
+++ b/tests/fast_client_test.cpp
@@ -3,11 +3,11 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <fstream>
 #include <ostream>
 #include <thread>
 
 #include "load.hpp"
+#include "process_memory.hpp"
 #include "relay_fixture.hpp"
 
 namespace fennellane::test {
@@ -20,15 +20,6 @@
 constexpr seconds kSpan{5};
 constexpr std::size_t kBatch = 64;  // requests written at once
 
-// The limit is 192 MB; a half of it is left for messages, lists and calls.
-constexpr std::size_t kMostClientsMb = 96;
-// With sanitizers the process holds their memory as well.
-#ifdef __SANITIZE_ADDRESS__
-constexpr bool kMeasuresMemory = false;
-#else
-constexpr bool kMeasuresMemory = true;
-#endif
-
 enum class Requests : std::uint8_t { sound_small, sound_large, unsound, new_names, up };
 
 std::string request_of(Requests kind, std::size_t n) {
@@ -85,13 +76,6 @@
   std::thread reader_, writer_;
 };
 
-std::size_t resident_mb(pid_t pid) {
-  std::ifstream in("/proc/" + std::to_string(pid) + "/statm");
-  std::size_t size = 0, resident = 0;
-  in >> size >> resident;
-  return resident * 4096 / (1 << 20);
-}
-
 struct Course {
   const char* name;
   Requests requests;
--- a/tools/harness/discovery_lab.cpp
+++ b/tools/harness/discovery_lab.cpp
@@ -248,11 +248,8 @@
     if (current_failed && breaks_watches && told > fault_began_) told = std::max(told, fault_ended_);
     if (course_.delay > milliseconds(0)) told = std::max(*drained_at_, process_began_) + kToldAtTheLatest;
     if (moved_at_) told = std::max(told, *moved_at_ + kToldAfterSighup);
-    return std::max(told, process_began_before(told));
-  }
-  // A process that began after the change has its grace from then on.
-  Clock::time_point process_began_before(Clock::time_point told) const {
-    return process_began_ > told ? process_began_ : told;
+    // A process that began after the change has its grace from then on.
+    return std::max(told, process_began_);
   }
 
   void check_drain(DiscoveryReport& report) const {
