Review: a route apart forgets a told wait when its endpoint leaves the list and comes back

An endpoint of a kind whose routes are apart tells a wait, is deregistered and registered again before the wait is over, and gets a call at once.

At fault are remove_stale_entries() in delivery_policy.cpp and forget_if_gone() in reducer.cpp. Nothing is fixed.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -26,3 +26,4 @@
 build told_wait
 build hup_at_start
 build_with_consul shared_list
+build_with_consul wait_and_return
