Review: relays that share the host list call each other's addresses of endpoints

Discovery may give each relay an address of its own for an endpoint. A relay that follows the shared list (role `refresh`) calls the holder's addresses, so its messages reach whatever is there on its own machine's network.

At fault is apply_own_list() and execute(ApplyList) in src/relay/relay.cpp. Nothing is fixed.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -26,4 +26,5 @@
 build told_wait
 build hup_at_start
 build_with_consul shared_list
+build_with_consul shared_addresses
 build_with_consul wait_and_return
