--- a/review/standin-2/lab.hpp
+++ b/review/standin-2/lab.hpp
@@ -1,6 +1,6 @@
 // What the cases of this review share: small stand-ins for clients, endpoints and the platform, written from
-// the protocol page, and the relay's program as a process of its own. POSIX and threads only. All addresses are on
-// 127.0.0.1, all ports are free ones of the system, all files are in a temporary folder.
+// the protocol page, and the relay's program as a process of its own. POSIX and threads only. All addresses
+// are on 127.0.0.1, all ports are free ones of the system, all files are in a temporary folder.
 #pragma once
 
 #include <arpa/inet.h>
@@ -79,7 +79,8 @@
   at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   return at;
 }
-// A bound socket that doesn't listen: the port stays ours, and a program that sets SO_REUSEADDR can listen on it.
+// A bound socket that doesn't listen: the port stays ours, and a program that sets SO_REUSEADDR can listen on
+// it.
 inline int reserve_port(int& port) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
   ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
@@ -185,7 +186,8 @@
       if (colon == std::string::npos) continue;
       std::string name = line.substr(0, colon), value = line.substr(colon + 1);
       std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
-      value.erase(0, value.find_first_not_of(' ') == std::string::npos ? value.size() : value.find_first_not_of(' '));
+      value.erase(
+          0, value.find_first_not_of(' ') == std::string::npos ? value.size() : value.find_first_not_of(' '));
       headers[name] = value;
     }
     const std::size_t size = headers.count("content-length") ? std::stoul(headers["content-length"]) : 0;
@@ -198,7 +200,8 @@
   }
   bool read_request(Request& request, const std::function<void()>& first_byte = {}) {
     std::string first;
-    if (!read_message(first, request.headers, request.body, Clock::time_point::max(), first_byte)) return false;
+    if (!read_message(first, request.headers, request.body, Clock::time_point::max(), first_byte))
+      return false;
     std::istringstream line(first);
     line >> request.method >> request.target;
     return true;
@@ -265,7 +268,8 @@
     const int on = 1;
     ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     const sockaddr_in at = loopback(port_);
-    if (::bind(listener_, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 || ::listen(listener_, 512) != 0)
+    if (::bind(listener_, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 ||
+        ::listen(listener_, 512) != 0)
       throw std::runtime_error("cannot listen");
     accepting_ = std::thread([this] { accept(); });
   }
@@ -281,7 +285,10 @@
       const std::lock_guard lock(mutex_);
       std::erase_if(connections_, [](const auto& w) { return w.expired(); });
       connections_.push_back(connection);
-      threads_.emplace_back([this, connection] { serve_(*connection); connection->close(); });
+      threads_.emplace_back([this, connection] {
+        serve_(*connection);
+        connection->close();
+      });
     }
   }
 
@@ -303,9 +310,9 @@
 };
 struct Reply {
   int status = 200;
-  std::string headers;       // whole lines
-  long after_ms = 20;        // -1: never, the connection stays open and silent
-  bool close = false;        // `Connection: close`, and the connection is closed behind the answer
+  std::string headers;  // whole lines
+  long after_ms = 20;   // -1: never, the connection stays open and silent
+  bool close = false;   // `Connection: close`, and the connection is closed behind the answer
 };
 class CallLog {
  public:
@@ -338,7 +345,10 @@
  public:
   using Answer = std::function<Reply(const Call&)>;
   Endpoint(std::string name, CallLog& log, Answer answer)
-      : name_(std::move(name)), log_(log), answer_(std::move(answer)), server_([this](Connection& c) { serve(c); }) {}
+      : name_(std::move(name)),
+        log_(log),
+        answer_(std::move(answer)),
+        server_([this](Connection& c) { serve(c); }) {}
   ~Endpoint() {
     stopping_ = true;
     server_.stop();
@@ -375,8 +385,9 @@
       }
       if (stopping_) return;
       const bool close = reply.close || call.asked_close;
-      const bool written = c.write("HTTP/1.1 " + std::to_string(reply.status) + " X\r\nContent-Length: 0\r\n" +
-                                   reply.headers + (close ? "Connection: close\r\n" : "") + "\r\n");
+      const bool written =
+          c.write("HTTP/1.1 " + std::to_string(reply.status) + " X\r\nContent-Length: 0\r\n" + reply.headers +
+                  (close ? "Connection: close\r\n" : "") + "\r\n");
       log_.answered(at);
       std::string shown = reply.headers;
       std::replace(shown.begin(), shown.end(), '\r', ' ');
@@ -403,12 +414,14 @@
   long long started_ms = 0;
 };
 inline std::string host_json(const Host& h) {
-  return "{\"id\":\"" + h.id + "\",\"addr\":\"" + h.address + "\",\"zone\":\"" + h.zone + "\",\"kind\":\"" + h.kind +
-         "\",\"cell\":" + std::to_string(h.cell) + ",\"state\":\"" + h.state +
-         "\",\"weight\":" + std::to_string(h.weight) + ",\"started_ms\":" + std::to_string(h.started_ms) + "}";
+  return "{\"id\":\"" + h.id + "\",\"addr\":\"" + h.address + "\",\"zone\":\"" + h.zone + "\",\"kind\":\"" +
+         h.kind + "\",\"cell\":" + std::to_string(h.cell) + ",\"state\":\"" + h.state +
+         "\",\"weight\":" + std::to_string(h.weight) + ",\"started_ms\":" + std::to_string(h.started_ms) +
+         "}";
 }
 inline std::string list_json(const std::vector<Host>& hosts, long version, bool full) {
-  std::string text = "{\"version\":" + std::to_string(version) + ",\"full\":" + (full ? "true" : "false") + ",\"servers\":[";
+  std::string text =
+      "{\"version\":" + std::to_string(version) + ",\"full\":" + (full ? "true" : "false") + ",\"servers\":[";
   for (std::size_t i = 0; i < hosts.size(); ++i) text += (i ? "," : "") + host_json(hosts[i]);
   return text + "]}";
 }
@@ -446,7 +459,8 @@
     }
     changed_.notify_all();
   }
-  // While it is silent it answers no list and no watch, and learns nothing; notices are answered all the same.
+  // While it is silent it answers no list and no watch, and learns nothing; notices are answered all the
+  // same.
   void silence(bool on) {
     {
       const std::lock_guard lock(mutex_);
@@ -493,7 +507,8 @@
         note_told(hosts);
         const std::string body = list_json(hosts, version_, true) + "\n";
         lock.unlock();
-        if (!c.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body)) return;
+        if (!c.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body))
+          return;
         continue;
       }
       const std::size_t after = request.target.find("after=");
@@ -516,7 +531,8 @@
     while (true) {
       std::unique_lock lock(mutex_);
       if (!first)
-        changed_.wait_for(lock, std::chrono::seconds(2), [&] { return stopping_ || (!silent_ && version_ > known); });
+        changed_.wait_for(lock, std::chrono::seconds(2),
+                          [&] { return stopping_ || (!silent_ && version_ > known); });
       if (stopping_) return;
       if (silent_) {
         changed_.wait(lock, [this] { return stopping_ || !silent_; });
@@ -580,11 +596,12 @@
   // The status; 0: no answer within 400 ms, or the connection ended; -1: not connected.
   int submit(const Submission& s) {
     const std::string text =
-        "POST /" + s.message_class + " HTTP/1.1\r\nHost: origin.svc\r\nX-Call-Id: " + s.id + "\r\nX-Call-Class: " +
-        s.message_class + (s.tenant.empty() ? "" : "\r\nX-Caller: " + s.tenant) +
-        "\r\nX-Budget-Ms: " + std::to_string(s.budget_ms) + (s.key.empty() ? "" : "\r\nIdempotency-Key: " + s.key) +
-        "\r\nX-Consignee: dest=" + std::to_string(s.destination) + "\r\nContent-Length: " + std::to_string(s.body.size()) +
-        "\r\n\r\n" + s.body;
+        "POST /" + s.message_class + " HTTP/1.1\r\nHost: origin.svc\r\nX-Call-Id: " + s.id +
+        "\r\nX-Call-Class: " + s.message_class + (s.tenant.empty() ? "" : "\r\nX-Caller: " + s.tenant) +
+        "\r\nX-Budget-Ms: " + std::to_string(s.budget_ms) +
+        (s.key.empty() ? "" : "\r\nIdempotency-Key: " + s.key) +
+        "\r\nX-Consignee: dest=" + std::to_string(s.destination) +
+        "\r\nContent-Length: " + std::to_string(s.body.size()) + "\r\n\r\n" + s.body;
     const bool kept = connection_ != nullptr;
     int status = exchange(text);
     // A connection closed between requests crosses a request that was not read: once more on a new one.
@@ -709,7 +726,9 @@
     const ConnectionPtr c = connect_to(port_);
     std::string first, body;
     std::map<std::string, std::string> headers;
-    if (!c || !c->write(text) || !c->read_message(first, headers, body, Clock::now() + std::chrono::seconds(1))) return 0;
+    if (!c || !c->write(text) ||
+        !c->read_message(first, headers, body, Clock::now() + std::chrono::seconds(1)))
+      return 0;
     return first.size() > 12 ? std::atoi(first.c_str() + 9) : 0;
   }
   void signal(int number) const {
@@ -749,7 +768,8 @@
   void replace(const std::string& file, const std::string& text) const {
     const std::string path = folder_.path() + "/" + file;
     std::ofstream(path + ".new") << text;
-    if (std::rename((path + ".new").c_str(), path.c_str()) != 0) throw std::runtime_error("cannot write " + path);
+    if (std::rename((path + ".new").c_str(), path.c_str()) != 0)
+      throw std::runtime_error("cannot write " + path);
   }
 
   const std::string name_;
--- a/review/standin-2/moved_discovery.cpp
+++ b/review/standin-2/moved_discovery.cpp
@@ -1,5 +1,6 @@
-// Two relays of one fleet share the host list over Consul (role `refresh`). A new configuration moves discovery, to one
-// relay after the other by SIGHUP. Later an endpoint drains. Does the one that follows go on sending to it?
+// Two relays of one fleet share the host list over Consul (role `refresh`). A new configuration moves
+// discovery, to one relay after the other by SIGHUP. Later an endpoint drains. Does the one that follows go
+// on sending to it?
 #include "consul_agent.hpp"
 #include "sites.hpp"
 
@@ -12,34 +13,51 @@
     const auto answer = [](const Call&) { return Reply{.after_ms = 60}; };
     Endpoint first("e-1", log, answer), second("e-2", log, answer);
     const auto host = [](const Endpoint& e, const char* state) {
-      return Host{.id = e.name(), .address = e.address(), .cell = 4, .state = state, .kind = "bank-gateways", .zone = "marousi-dc"};
+      return Host{.id = e.name(),
+                  .address = e.address(),
+                  .cell = 4,
+                  .state = state,
+                  .kind = "bank-gateways",
+                  .zone = "marousi-dc"};
     };
     const std::vector<Host> hosts = {host(first, "ready"), host(second, "ready")};
-    // An agent on each relay's machine: of the old discovery, which is at version 40, and of the new one, at version 3.
+    // An agent on each relay's machine: of the old discovery, which is at version 40, and of the new one, at
+    // version 3.
     Platform old_1(hosts, 40), old_2(hosts, 40), new_1(hosts, 3), new_2(hosts, 3);
     fennellane::standin::ConsulAgent consul;
-    const std::string settings = "(consul (address \"" + consul.address() +
-                                 "\"))\n(fleet (prefix \"athens\") (roles \"refresh\") (refresh (discovery \"platform\")))\n";
+    const std::string settings =
+        "(consul (address \"" + consul.address() +
+        "\"))\n(fleet (prefix \"athens\") (roles \"refresh\") (refresh (discovery \"platform\")))\n";
     Relay n1("n1"), n2("n2");
     const auto configure = [&](Relay& relay, const Platform& agent, int index) {
-      relay.configure(athens({.name = relay.name(), .listen = relay.address(), .discovery = agent.address(), .known = hosts,
-                              .relays = 2, .index = index, .discovery_mode = "push"}));
+      relay.configure(athens({.name = relay.name(),
+                              .listen = relay.address(),
+                              .discovery = agent.address(),
+                              .known = hosts,
+                              .relays = 2,
+                              .index = index,
+                              .discovery_mode = "push"}));
     };
     configure(n1, old_1, 0);
     configure(n2, old_2, 1);
     n1.settings(settings);
     n2.settings(settings);
     n1.start();
-    if (!wait_for([&] { return n1.logged("refresh: acts, token"); }, 25000)) throw std::runtime_error("no holder: " + n1.log());
+    if (!wait_for([&] { return n1.logged("refresh: acts, token"); }, 25000))
+      throw std::runtime_error("no holder: " + n1.log());
     n2.start();
-    if (!wait_for([&] { return n2.logged("following the shared list"); }, 25000)) throw std::runtime_error("not followed: " + n2.log());
+    if (!wait_for([&] { return n2.logged("following the shared list"); }, 25000))
+      throw std::runtime_error("not followed: " + n2.log());
     record("relay     n1 holds the role, n2 follows the shared list");
     std::atomic<bool> stopping = false;
     std::thread load([&] {
       Client client(n2.port());
       for (int n = 0; !stopping; ++n) {
-        client.submit({.id = "m" + std::to_string(n), .message_class = n % 2 ? "order-payment" : "template-notice", .destination = 4,
-                       .budget_ms = 16000, .tenant = "attiki"});
+        client.submit({.id = "m" + std::to_string(n),
+                       .message_class = n % 2 ? "order-payment" : "template-notice",
+                       .destination = 4,
+                       .budget_ms = 16000,
+                       .tenant = "attiki"});
         sleep_ms(100);
       }
     });
--- a/review/standin-2/told_wait.cpp
+++ b/review/standin-2/told_wait.cpp
@@ -1,5 +1,6 @@
-// A partner's count of calls in a span of one second is used up, by other relays: it answers 429 with the time to
-// the span's end, and closes the connection behind that answer. Does a call reach it before the wait is over?
+// A partner's count of calls in a span of one second is used up, by other relays: it answers 429 with the
+// time to the span's end, and closes the connection behind that answer. Does a call reach it before the wait
+// is over?
 #include "sites.hpp"
 
 using namespace lab;
@@ -9,8 +10,8 @@
 constexpr long kSpanMs = 1000;
 constexpr long kLetThroughMs = 100 + 50;  // 100 ms by the protocol page, and each limit is 50 ms longer
 
-// The limit of one partner, over both of its endpoints. Once others have used it up, `kRoomMs` into a span, every
-// refusal is honest: there is room again when the next span begins.
+// The limit of one partner, over both of its endpoints. Once others have used it up, `kRoomMs` into a span,
+// every refusal is honest: there is room again when the next span begins.
 class Limit {
  public:
   void use_up(bool on) { used_up_ = on; }
@@ -77,7 +78,11 @@
         Client client(relay.port());
         for (int n = 0; !stopping; ++n) {
           const std::string id = "m" + std::to_string(c) + "-" + std::to_string(n);
-          client.submit({.id = id, .message_class = "delivery", .key = "k-" + id, .destination = 3, .budget_ms = 28000});
+          client.submit({.id = id,
+                         .message_class = "delivery",
+                         .key = "k-" + id,
+                         .destination = 3,
+                         .budget_ms = 28000});
           sleep_ms(130);
         }
       });
@@ -103,8 +108,9 @@
         if (call.last_byte <= wait.from + Ms(kLetThroughMs) || call.last_byte >= wait.until) continue;
         ++early;
         record("EARLY     %s id=%s came %.0f ms after id=%s was told to wait, %.0f ms before the wait's end",
-               call.endpoint.c_str(), call.id.c_str(), ms_since_start(call.last_byte) - ms_since_start(wait.from),
-               wait.id.c_str(), ms_since_start(wait.until) - ms_since_start(call.last_byte));
+               call.endpoint.c_str(), call.id.c_str(),
+               ms_since_start(call.last_byte) - ms_since_start(wait.from), wait.id.c_str(),
+               ms_since_start(wait.until) - ms_since_start(call.last_byte));
         break;
       }
     }
--- a/review/standin-2/wait_and_return.cpp
+++ b/review/standin-2/wait_and_return.cpp
@@ -1,5 +1,5 @@
-// A route apart tells a wait. Its endpoint leaves the catalogue and comes back, as it was, before the wait is over.
-// Does it get a call?
+// A route apart tells a wait. Its endpoint leaves the catalogue and comes back, as it was, before the wait is
+// over. Does it get a call?
 #include "consul_agent.hpp"
 #include "sites.hpp"
 
@@ -23,7 +23,8 @@
       if (!told_at) told_at = now;
       return r;
     };
-    Endpoint first("p-1", log, shut_answer), second("p-2", log, [](const Call&) { return Reply{.after_ms = 200}; });
+    Endpoint first("p-1", log, shut_answer),
+        second("p-2", log, [](const Call&) { return Reply{.after_ms = 200}; });
     fennellane::standin::ConsulAgent consul;
     const auto registered = [](const Endpoint& e) {
       fennellane::standin::CatalogueHost h;
@@ -37,14 +38,16 @@
     Platform platform({});
     Relay relay;
     relay.configure(sfax({.listen = relay.address(), .discovery = platform.address(), .apart = true}));
-    relay.settings("(membership \"consul\")\n(consul (address \"" + consul.address() + "\") (rate-of \"host\") (service (name \"partners\")))\n");
+    relay.settings("(membership \"consul\")\n(consul (address \"" + consul.address() +
+                   "\") (rate-of \"host\") (service (name \"partners\")))\n");
     relay.start();
     std::atomic<bool> stopping = false;
     std::thread load([&] {
       Client client(relay.port());
       for (int n = 0; !stopping; ++n) {
         const std::string id = "m" + std::to_string(n);
-        client.submit({.id = id, .message_class = "delivery", .key = "k-" + id, .destination = 3, .budget_ms = 28000});
+        client.submit(
+            {.id = id, .message_class = "delivery", .key = "k-" + id, .destination = 3, .budget_ms = 28000});
         sleep_ms(100);
       }
     });
@@ -54,7 +57,12 @@
       opens = Clock::now() + Ms(kShutMs);
       record("p-1 is shut for %ld ms", kShutMs);
     }
-    const bool told = wait_for([&] { const std::lock_guard lock(mutex); return told_at.has_value(); }, 3000);
+    const bool told = wait_for(
+        [&] {
+          const std::lock_guard lock(mutex);
+          return told_at.has_value();
+        },
+        3000);
     if (!told) throw std::runtime_error("no wait was told");
     sleep_ms(1000);
     if (trouble()) {
@@ -79,7 +87,8 @@
       if (c.last_byte <= *told_at + Ms(kLetThroughMs) || c.last_byte >= *opens) continue;
       ++early;
       record("EARLY     p-1 id=%s came %.0f ms after the wait was told, %.0f ms before its end", c.id.c_str(),
-             ms_since_start(c.last_byte) - ms_since_start(*told_at), ms_since_start(*opens) - ms_since_start(c.last_byte));
+             ms_since_start(c.last_byte) - ms_since_start(*told_at),
+             ms_since_start(*opens) - ms_since_start(c.last_byte));
     }
     record("p-1: %d calls before the wait, %d during it, %d after it", before, early, after);
     if (before < 3) throw std::runtime_error("too few calls before the wait");
